Lend the tokens of a workspace's rate, conserved over all VMs

Cause: rate and burst count over the whole fleet, and no lost answer, kill or pause may add to them.

A zone's share accrues at the owner of the workspace's shard alone (Bank). Nodes borrow whole tokens (Wallet), banks borrow fractions from banks of other zones. A loan counts against the lender's burst until it is reported spent, is given back or has lapsed by both clocks; borrowers count its time from when they sent the draw, lenders from when they had it, stretched by the bound on clock rates (500 ppm). Only an answer to a pending draw is counted. A successor without handed-over state accrues nothing until its predecessor's loans are over; a grown share waits 11 s for the shrunken ones.

A spend is now named with the reports made before it.

--- /dev/null
+++ b/share/home.go
@@ -0,0 +1,27 @@
+package share
+
+import "github.com/cespare/xxhash/v2"
+
+// The multiplier and the range of the jump consistent hash.
+const (
+	jumpMultiplier = 2862933555777941757
+	jumpRange      = 1 << 31
+)
+
+// Home returns the shard of an availability zone that a workspace is homed
+// at. It is the same at every node, and raising the number of shards moves as
+// few workspaces as can be.
+func Home(workspace string, shards int) int {
+	return Jump(xxhash.Sum64String(workspace), shards)
+}
+
+// Jump is the jump consistent hash of Lamping and Veach.
+func Jump(hash uint64, buckets int) int {
+	bucket, next := int64(0), int64(0)
+	for next < int64(buckets) {
+		bucket = next
+		hash = hash*jumpMultiplier + 1
+		next = int64(float64(bucket+1) * (float64(jumpRange) / float64((hash>>33)+1)))
+	}
+	return int(bucket)
+}
--- /dev/null
+++ b/share/unit_test.go
@@ -0,0 +1,92 @@
+package share
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestMeterFindsTheWorstWindow(t *testing.T) {
+	cases := []struct {
+		name   string
+		rate   float64
+		spends []time.Duration
+		worst  float64
+	}{
+		{"none", 1, nil, 0},
+		{"at once", 1, []time.Duration{0, 0, 0}, 3},
+		{"exactly at the rate", 2, []time.Duration{0, time.Second / 2, time.Second}, 1},
+		{"worst in the middle", 1, []time.Duration{0, 10 * time.Second, 10 * time.Second, 20 * time.Second}, 2},
+		{"slow build-up", 1, []time.Duration{0, time.Second / 2, time.Second, 3 * time.Second / 2}, 2.5},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			meter := NewMeter(c.rate)
+			for _, at := range c.spends {
+				meter.Spend(1, at)
+			}
+			assert.Equal(t, meter.Worst(), c.worst)
+		})
+	}
+}
+
+func TestHomeMovesFewWorkspaces(t *testing.T) {
+	moved := 0
+	for i := range 1000 {
+		name := string(rune('a'+i%26)) + time.Duration(i).String()
+		before, after := Home(name, 9), Home(name, 10)
+		assert.Assert(t, before >= 0 && before < 9)
+		if before != after {
+			assert.Equal(t, after, 9)
+			moved++
+		}
+	}
+	assert.Assert(t, moved > 50 && moved < 150, "%d", moved)
+}
+
+func TestGrownShareWaitsForShrunkenOnes(t *testing.T) {
+	terms := Terms{}.withDefaults()
+	bank := NewBank(BankConfig{Zone: "zone0", GainedAt: 0, Terms: terms})
+	bank.Apply(testIndex(2, 10, 100, nil), 0)
+	bank.Apply(testIndex(2, 10, 100, map[string]float64{"zone0": 1}), 20*time.Second)
+	before := bank.Available(testWorkspace, 30*time.Second)
+	assert.Equal(t, before, 50.0)
+	after := bank.Available(testWorkspace, 32*time.Second)
+	assert.Assert(t, after > 59.9 && after <= 60, "%v", after)
+}
+
+func TestMovedWorkspaceWaitsForItsFormerOwner(t *testing.T) {
+	terms := Terms{}.withDefaults()
+	before := testIndex(1, 10, 100, nil)
+	after := testIndex(1, 10, 100, nil)
+	after.Bundle.Zones[0].Shards = 64
+	home := Home(testWorkspace, 64)
+	assert.Assert(t, home != 0)
+	bank := NewBank(BankConfig{Zone: "zone0", Shard: home, Terms: terms})
+	bank.Apply(before, 0)
+	bank.Apply(after, time.Minute)
+	moved := time.Minute + terms.GrowthDelay + terms.LoanTTL
+	assert.Equal(t, bank.Available(testWorkspace, moved), 0.0)
+	assert.Assert(t, bank.Available(testWorkspace, moved+time.Second) > 9)
+}
+
+func TestHandoverKeepsTokensAndLoans(t *testing.T) {
+	terms := Terms{}.withDefaults()
+	index := testIndex(1, 10, 100, nil)
+	first := NewBank(BankConfig{Zone: "zone0", Epoch: 1, Terms: terms})
+	first.Apply(index, 0)
+	now := 20 * time.Second
+	grant, ok := first.Draw(Draw{ID: 1, Zone: "zone0", Borrower: "zone0", Workspace: testWorkspace, Need: 30, Whole: true}, now)
+	assert.Assert(t, ok && grant.Tokens == 30)
+	state := first.Export(now)
+	assert.Equal(t, first.Available(testWorkspace, now), 0.0)
+
+	start := time.Hour
+	second := NewBank(BankConfig{Zone: "zone0", Epoch: 2, GainedAt: start, Terms: terms, State: state})
+	second.Apply(index, start)
+	assert.Equal(t, second.Available(testWorkspace, start), 70.0)
+	second.Report(testWorkspace, []Report{{Loan: grant.Loan, Spent: 10, Closed: true}}, start)
+	assert.Equal(t, second.Available(testWorkspace, start), 90.0)
+	assert.Equal(t, second.Held(testWorkspace, start), 90.0)
+}
--- /dev/null
+++ b/share/wallet.go
@@ -0,0 +1,211 @@
+package share
+
+import (
+	"slices"
+	"time"
+
+	"auburngap/bundle"
+)
+
+// Verdict is a wallet's decision on one request.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Refused means that the owner had no token a moment ago.
+	Refused Verdict = iota
+	// Taken means that a token is spent.
+	Taken
+	// Wait means that an answer may bring a token.
+	Wait
+)
+
+// Decision is what Take returns.
+type Decision struct {
+	Verdict Verdict
+	// Spend names the token that was taken.
+	Spend Spend
+	// Ask tells the caller to send a draw now.
+	Ask bool
+	// RetryAfter goes with Refused.
+	RetryAfter time.Duration
+}
+
+// Wallet holds the tokens that one node has borrowed. It is not safe for
+// concurrent use.
+type Wallet struct {
+	zone   string
+	zones  []string
+	purses map[string]*purse
+	active []*purse
+	lastID uint64
+}
+
+// NewWallet returns the wallet, without tokens, of a node in a zone.
+func NewWallet(zone string) *Wallet {
+	return &Wallet{zone: zone, zones: []string{zone}, purses: make(map[string]*purse)}
+}
+
+// Apply puts a bundle into force: it names the zones whose owners may lend
+// and forgets workspaces that are gone.
+func (w *Wallet) Apply(index *bundle.Index) {
+	w.zones = []string{w.zone}
+	for i := range index.Bundle.Zones {
+		if name := index.Bundle.Zones[i].Name; name != w.zone {
+			w.zones = append(w.zones, name)
+		}
+	}
+	for name := range w.purses {
+		if _, ok := index.Workspace(name); !ok {
+			delete(w.purses, name)
+		}
+	}
+	w.active = slices.DeleteFunc(w.active, func(p *purse) bool { return w.purses[p.workspace] != p })
+}
+
+// Take decides about one request of a workspace.
+func (w *Wallet) Take(workspace string, now time.Duration) Decision {
+	p := w.purse(workspace)
+	p.demand.add(1, now)
+	return w.Retake(workspace, now)
+}
+
+// Retake decides again about a request that has waited.
+func (w *Wallet) Retake(workspace string, now time.Duration) Decision {
+	p := w.purse(workspace)
+	p.lastTake = now
+	if spend, ok := p.take(now); ok {
+		return Decision{Verdict: Taken, Spend: spend, Ask: p.dueAhead(now)}
+	}
+	if p.waiting(now) {
+		return Decision{Verdict: Wait}
+	}
+	if now < p.refusedUntil {
+		return Decision{Verdict: Refused, RetryAfter: p.retryAfter}
+	}
+	return Decision{Verdict: Wait, Ask: true}
+}
+
+// Draw returns the message for the workspace's owner in the zone named by the
+// draw; need counts the requests that wait. Until it is answered or has timed
+// out, no other is due.
+func (w *Wallet) Draw(workspace string, need int, now time.Duration) Draw {
+	p := w.purse(workspace)
+	w.lastID++
+	p.pending = w.lastID
+	p.pendingNeed = float64(need)
+	p.pendingZone = w.lender(p, now)
+	p.askedAt = now
+	reports := p.reports(p.pendingZone, now)
+	return Draw{
+		ID: w.lastID, Zone: p.pendingZone, Workspace: workspace,
+		Need: float64(need), Want: p.want(now),
+		Whole: true, Borrower: w.zone, Reports: reports,
+	}
+}
+
+// lender returns the zone to ask: the node's own, or another one while the
+// own one's owner gives no answer.
+func (w *Wallet) lender(p *purse, now time.Duration) string {
+	if now >= p.homeAt {
+		p.lender = 0
+	}
+	return w.zones[p.lender%len(w.zones)]
+}
+
+// Answer takes in a grant. One that answers no pending draw is ignored: its
+// tokens lapse.
+func (w *Wallet) Answer(workspace string, grant Grant, now time.Duration) {
+	p := w.purse(workspace)
+	if grant.ID == 0 || p.pending != grant.ID {
+		return
+	}
+	p.pending = 0
+	p.add(grant, p.askedAt+grant.TTL)
+	w.list(p)
+	if grant.Tokens < p.pendingNeed {
+		p.refuse(grant.RetryAfter, now)
+	}
+}
+
+// Failed tells that a draw got no answer, and whether the owner of another
+// zone may be asked in its place.
+func (w *Wallet) Failed(workspace string, id uint64, now time.Duration) bool {
+	p := w.purse(workspace)
+	if p.pending != id {
+		return false
+	}
+	p.pending = 0
+	if p.lender == 0 {
+		p.homeAt = now + homeBackoff
+	}
+	p.lender++
+	if p.lender < len(w.zones) {
+		return true
+	}
+	p.lender = 0
+	p.refuse(homeBackoff, now)
+	return false
+}
+
+func (p *purse) refuse(retryAfter, now time.Duration) {
+	p.retryAfter = max(retryAfter, time.Millisecond)
+	p.refusedUntil = now + min(p.retryAfter, longestRefusal)
+}
+
+// GiveBack returns a token whose request ended without having run. False
+// means that its loan is over or the spend has been reported, so that the
+// token stays spent.
+func (w *Wallet) GiveBack(workspace string, spend Spend, now time.Duration) bool {
+	return w.purse(workspace).giveBack(spend, now)
+}
+
+// Reports returns draws that carry reports alone: what owners are to be told,
+// with tokens that lie idle given back.
+func (w *Wallet) Reports(now time.Duration) []Draw {
+	var draws []Draw
+	kept := w.active[:0]
+	for _, p := range w.active {
+		draws = w.appendReports(draws, p, now)
+		p.listed = p.count > 0
+		if p.listed {
+			kept = append(kept, p)
+		}
+	}
+	clear(w.active[len(kept):])
+	w.active = kept
+	return draws
+}
+
+func (w *Wallet) appendReports(draws []Draw, p *purse, now time.Duration) []Draw {
+	for _, zone := range w.zones {
+		reports := p.reports(zone, now)
+		if len(reports) == 0 {
+			continue
+		}
+		draws = append(draws, Draw{Zone: zone, Workspace: p.workspace, Whole: true, Borrower: w.zone, Reports: reports})
+	}
+	return draws
+}
+
+func (w *Wallet) list(p *purse) {
+	if p.listed || p.count == 0 {
+		return
+	}
+	p.listed = true
+	w.active = append(w.active, p)
+}
+
+// Left returns a workspace's tokens that can still be spent here.
+func (w *Wallet) Left(workspace string, now time.Duration) float64 {
+	return w.purse(workspace).left(now)
+}
+
+func (w *Wallet) purse(workspace string) *purse {
+	p, ok := w.purses[workspace]
+	if !ok {
+		p = &purse{workspace: workspace}
+		w.purses[workspace] = p
+	}
+	return p
+}
