--- a/share/client.go
+++ b/share/client.go
@@ -9,8 +9,8 @@
 	"auburngap/request"
 )
 
-// reportInterval is how often owners are told of spends.
-const reportInterval = 20 * time.Millisecond
+// reportInterval is how soon owners are told of spends.
+const reportInterval = 5 * time.Millisecond
 
 // mostRounds is how many draws one request waits for: one that is already
 // under way, and its own.
@@ -39,6 +39,8 @@
 	wallet *Wallet
 	index  *bundle.Index
 	rounds map[string]*round
+	// armed is true while a report is due.
+	armed bool
 }
 
 // round is a draw under way with those who wait for it.
@@ -134,7 +136,8 @@
 	return r
 }
 
-// run asks the zone's owner and, where that gives no answer, those of others.
+// run asks the zone's owner and, where that gives no answer, those of other
+// zones.
 func (c *Client) run(workspace string, r *round) {
 	for c.ask(workspace, r) {
 	}
@@ -156,8 +159,9 @@
 	if !ok {
 		return c.wallet.Failed(workspace, draw.ID, c.config.Clock())
 	}
-	c.wallet.Answer(workspace, grant, c.config.Clock())
-	return false
+	again := c.wallet.Answer(workspace, grant, c.config.Clock())
+	c.arm()
+	return again
 }
 
 func (c *Client) send(index *bundle.Index, draw Draw) (Grant, bool) {
@@ -174,24 +178,33 @@
 	return grantFromProto(answer), true
 }
 
-// Run reports spends to the owners until the context ends.
-func (c *Client) Run(ctx context.Context) error {
-	ticker := time.NewTicker(reportInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			c.report()
-		}
+// Close gives all tokens back, as a graceful shutdown does after its last
+// request.
+func (c *Client) Close() {
+	c.mu.Lock()
+	draws := c.wallet.Close(c.config.Clock())
+	index := c.index
+	c.mu.Unlock()
+	for _, draw := range draws {
+		c.send(index, draw)
+	}
+}
+
+// arm sees that owners are told of what is spent and get back what is idle.
+func (c *Client) arm() {
+	if c.armed || !c.wallet.Active() {
+		return
 	}
+	c.armed = true
+	time.AfterFunc(reportInterval, c.report)
 }
 
 func (c *Client) report() {
 	c.mu.Lock()
 	draws := c.wallet.Reports(c.config.Clock())
 	index := c.index
+	c.armed = false
+	c.arm()
 	c.mu.Unlock()
 	for _, draw := range draws {
 		go c.send(index, draw)
--- a/share/owner.go
+++ b/share/owner.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// returnInterval is how often banks of other zones are told of spends.
-	returnInterval = 20 * time.Millisecond
+	// returnInterval is how soon banks of other zones are told of spends.
+	returnInterval = 10 * time.Millisecond
 	// peerTimeout bounds a draw from another zone.
 	peerTimeout = 50 * time.Millisecond
 	// lookahead is the demand that a bank tries to have in stock.
@@ -43,6 +43,8 @@
 	mu    sync.Mutex
 	index *bundle.Index
 	banks map[int]*desk
+	// armed is true while reports to other zones are due.
+	armed bool
 }
 
 // desk is one owned shard.
@@ -233,6 +235,7 @@
 		return
 	}
 	d.bank.Deposit(draw.Workspace, draw.Zone, grant, askedAt, now)
+	o.arm()
 }
 
 func (o *Owner) send(draw Draw) (Grant, bool) {
@@ -251,29 +254,33 @@
 	return grantFromProto(answer), true
 }
 
-// Run reports to banks of other zones until the context ends.
-func (o *Owner) Run(ctx context.Context) error {
-	ticker := time.NewTicker(returnInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			o.giveBack()
-		}
+// arm sees that banks of other zones are told of what is spent and get back
+// what is idle.
+func (o *Owner) arm() {
+	if o.armed {
+		return
 	}
+	o.armed = true
+	time.AfterFunc(returnInterval, o.giveBack)
 }
 
 func (o *Owner) giveBack() {
 	o.mu.Lock()
-	now := o.config.Clock()
-	var draws []Draw
-	for _, d := range o.banks {
-		draws = append(draws, d.bank.Returns(now)...)
-	}
+	o.armed = false
+	draws := o.returns(o.config.Clock())
 	o.mu.Unlock()
 	for _, draw := range draws {
 		go o.send(draw)
 	}
 }
+
+func (o *Owner) returns(now time.Duration) []Draw {
+	var draws []Draw
+	for _, d := range o.banks {
+		draws = append(draws, d.bank.Returns(now)...)
+		if d.bank.Borrowed() {
+			o.arm()
+		}
+	}
+	return draws
+}
--- a/share/purse.go
+++ b/share/purse.go
@@ -22,9 +22,10 @@
 	idleTime = 150 * time.Millisecond
 	// askTimeout is how long an answer is waited for.
 	askTimeout = 100 * time.Millisecond
-	// homeBackoff is how long a zone's own owner is left alone after it gave
-	// no answer.
-	homeBackoff = 500 * time.Millisecond
+	// A zone's own owner that gave no answer is left alone for a time that
+	// doubles from the first to the last.
+	firstHomeBackoff = 250 * time.Millisecond
+	lastHomeBackoff  = 2 * time.Second
 	// longestRefusal is how long a wallet refuses without asking again.
 	longestRefusal = 5 * time.Millisecond
 	// closeTime is how long before the end of its time a loan goes back.
@@ -61,10 +62,11 @@
 	pendingNeed float64
 	pendingZone string
 	askedAt     time.Duration
-	// lender is the index of the zone to ask; other zones than the first are
-	// asked until homeAt.
-	lender int
-	homeAt time.Duration
+	// tried counts the owners asked for the requests that wait. The own
+	// zone's is left alone until homeAt.
+	tried       int
+	homeAt      time.Duration
+	homeBackoff time.Duration
 	// listed is true while the purse is among the wallet's active ones.
 	listed       bool
 	refusedUntil time.Duration
--- /dev/null
+++ b/share/refusals_test.go
@@ -0,0 +1,124 @@
+package share
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// killOwner kills the first zone's owner and lets another VM take the shard
+// over without its state.
+func killOwner(s *site) {
+	time.Sleep(20 * time.Second)
+	s.servers[0].kill()
+	time.Sleep(5 * time.Second)
+	s.gain(s.servers[1], nil)
+}
+
+// rollingRestart restarts every VM, with handover where it owns a shard.
+func rollingRestart(s *site) {
+	time.Sleep(15 * time.Second)
+	for i, v := range s.servers {
+		s.mu.Lock()
+		owns := s.owners[v.zone] == v
+		s.mu.Unlock()
+		if owns {
+			state := v.owner.Lost(0)
+			time.Sleep(10 * time.Millisecond)
+			next := i + 1
+			if next%s.config.nodes == 0 {
+				next -= s.config.nodes
+			}
+			s.gain(s.servers[next], state)
+		}
+		v.client.Close()
+		v.kill()
+		time.Sleep(500 * time.Millisecond)
+		s.mu.Lock()
+		v.boot()
+		s.mu.Unlock()
+	}
+}
+
+// outage restarts the first zone's owner in its slot: it goes on at the same
+// place, without memory.
+func outage(s *site) {
+	time.Sleep(60 * time.Second)
+	v := s.servers[0]
+	v.kill()
+	time.Sleep(2 * time.Second)
+	s.mu.Lock()
+	v.boot()
+	s.mu.Unlock()
+	s.gain(v, nil)
+}
+
+// ownerGone kills an owner for which no successor can be found.
+func ownerGone(s *site) {
+	time.Sleep(20 * time.Second)
+	s.servers[0].kill()
+}
+
+func cutZone(s *site) {
+	time.Sleep(20 * time.Second)
+	s.mu.Lock()
+	s.cut["zone0"] = true
+	s.mu.Unlock()
+	time.Sleep(60 * time.Second)
+	s.mu.Lock()
+	s.cut["zone0"] = false
+	s.mu.Unlock()
+}
+
+func TestWrongfulRefusals(t *testing.T) {
+	cases := []struct {
+		name string
+		// percent is the target, of the requests within the rate.
+		percent float64
+		config  siteConfig
+	}{
+		{"steady demand at 90%", 0.1, siteConfig{zones: 4, nodes: 25, rate: 400, burst: 400, demand: 360, duration: 60 * time.Second}},
+		{"steady demand at 70%, small burst", 0.1, siteConfig{zones: 4, nodes: 25, rate: 400, burst: 100, demand: 280, duration: 60 * time.Second}},
+		{"all demand in one zone", 0.1, siteConfig{zones: 4, nodes: 25, rate: 400, burst: 400, demand: 360, onlyFirstZone: true, duration: 60 * time.Second}},
+		{"one request a minute", 0.1, siteConfig{zones: 4, nodes: 25, rate: 1.0 / 60, burst: 1, every: 61 * time.Second, duration: 100 * time.Minute}},
+		{"burst of 8 over 4 zones of 100 nodes", 0.1, siteConfig{zones: 4, nodes: 100, rate: 40, burst: 8, demand: 24, duration: 60 * time.Second}},
+		{"owner killed", 1, siteConfig{zones: 4, nodes: 25, rate: 400, burst: 400, demand: 360, duration: 60 * time.Second, events: killOwner}},
+		{"rolling restart", 1, siteConfig{zones: 3, nodes: 20, rate: 400, burst: 400, demand: 360, duration: 60 * time.Second, events: rollingRestart}},
+		{"platform outage of 5 minutes, owner restarts", 1, siteConfig{zones: 3, nodes: 10, rate: 100, burst: 100, demand: 90, duration: 300 * time.Second, events: outage}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSite(c.config)
+				r := s.run()
+				r.log(t, s)
+				assert.Assert(t, s.meter.Worst() <= c.config.burst+tolerance)
+				assert.Assert(t, r.wrongfulPercent() <= c.percent, "%.3f%%", r.wrongfulPercent())
+			})
+		})
+	}
+}
+
+// The costs of faults for which the project states no target.
+func TestCostOfCutsAndLostOwners(t *testing.T) {
+	cases := []struct {
+		name   string
+		config siteConfig
+	}{
+		{"zone cut off for 60 s, demand at 90%", siteConfig{zones: 4, nodes: 25, rate: 400, burst: 400, demand: 360, duration: 90 * time.Second, events: cutZone}},
+		{"owner gone without a successor, demand at 70%", siteConfig{zones: 4, nodes: 25, rate: 400, burst: 400, demand: 280, duration: 60 * time.Second, events: ownerGone}},
+		{"6 times the rate", siteConfig{zones: 4, nodes: 25, rate: 100, burst: 100, demand: 600, duration: 60 * time.Second}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSite(c.config)
+				r := s.run()
+				r.log(t, s)
+				assert.Assert(t, s.meter.Worst() <= c.config.burst+tolerance)
+			})
+		})
+	}
+}
--- a/share/shortage.go
+++ b/share/shortage.go
@@ -142,6 +142,16 @@
 	return draws
 }
 
+// Borrowed tells whether the bank holds anything from banks of other zones.
+func (b *Bank) Borrowed() bool {
+	for _, a := range b.accounts {
+		if len(a.lots) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (b *Bank) appendReturns(draws []Draw, workspace string, a *account, now time.Duration) []Draw {
 	for i := range b.index.Bundle.Zones {
 		zone := b.index.Bundle.Zones[i].Name
--- a/share/wallet.go
+++ b/share/wallet.go
@@ -39,6 +39,8 @@
 	purses map[string]*purse
 	active []*purse
 	lastID uint64
+	// turn chooses among the other zones.
+	turn int
 }
 
 // NewWallet returns the wallet, without tokens, of a node in a zone.
@@ -104,47 +106,65 @@
 	}
 }
 
-// lender returns the zone to ask: the node's own, or another one while the
+// lender returns the zone to ask: the node's own, or others in turn while the
 // own one's owner gives no answer.
 func (w *Wallet) lender(p *purse, now time.Duration) string {
-	if now >= p.homeAt {
-		p.lender = 0
+	p.tried++
+	if p.tried == 1 && now >= p.homeAt || len(w.zones) == 1 {
+		return w.zone
 	}
-	return w.zones[p.lender%len(w.zones)]
+	w.turn++
+	return w.zones[1+w.turn%(len(w.zones)-1)]
 }
 
-// Answer takes in a grant. One that answers no pending draw is ignored: its
-// tokens lapse.
-func (w *Wallet) Answer(workspace string, grant Grant, now time.Duration) {
+// Answer takes in a grant and tells whether another owner is to be asked. A
+// grant that answers no pending draw is ignored: its tokens lapse.
+func (w *Wallet) Answer(workspace string, grant Grant, now time.Duration) bool {
 	p := w.purse(workspace)
 	if grant.ID == 0 || p.pending != grant.ID {
-		return
+		return false
 	}
 	p.pending = 0
 	p.add(grant, p.askedAt+grant.TTL)
 	w.list(p)
-	if grant.Tokens < p.pendingNeed {
-		p.refuse(grant.RetryAfter, now)
+	if p.pendingZone == w.zone {
+		p.homeBackoff = 0
+	}
+	if grant.Tokens >= p.pendingNeed {
+		p.tried = 0
+		return false
 	}
+	if p.pendingZone != w.zone {
+		return w.another(p, grant.RetryAfter, now)
+	}
+	p.tried = 0
+	p.refuse(grant.RetryAfter, now)
+	return false
 }
 
-// Failed tells that a draw got no answer, and whether the owner of another
-// zone may be asked in its place.
+// Failed tells that a draw got no answer, and returns whether another owner
+// is to be asked.
 func (w *Wallet) Failed(workspace string, id uint64, now time.Duration) bool {
 	p := w.purse(workspace)
 	if p.pending != id {
 		return false
 	}
 	p.pending = 0
-	if p.lender == 0 {
-		p.homeAt = now + homeBackoff
+	if p.pendingZone == w.zone {
+		p.homeBackoff = min(max(2*p.homeBackoff, firstHomeBackoff), lastHomeBackoff)
+		p.homeAt = now + p.homeBackoff
 	}
-	p.lender++
-	if p.lender < len(w.zones) {
+	return w.another(p, firstHomeBackoff, now)
+}
+
+// another tells whether an owner is left to ask for the requests that wait,
+// and otherwise lets them be refused.
+func (w *Wallet) another(p *purse, retryAfter, now time.Duration) bool {
+	if p.tried < len(w.zones) {
 		return true
 	}
-	p.lender = 0
-	p.refuse(homeBackoff, now)
+	p.tried = 0
+	p.refuse(retryAfter, now)
 	return false
 }
 
@@ -177,6 +197,14 @@
 	return draws
 }
 
+// Close returns draws that give everything back.
+func (w *Wallet) Close(now time.Duration) []Draw {
+	for _, p := range w.active {
+		p.lastTake = now - idleTime
+	}
+	return w.Reports(now)
+}
+
 func (w *Wallet) appendReports(draws []Draw, p *purse, now time.Duration) []Draw {
 	for _, zone := range w.zones {
 		reports := p.reports(zone, now)
@@ -196,6 +224,11 @@
 	w.active = append(w.active, p)
 }
 
+// Active tells whether owners are to be told anything sooner or later.
+func (w *Wallet) Active() bool {
+	return len(w.active) > 0
+}
+
 // Left returns a workspace's tokens that can still be spent here.
 func (w *Wallet) Left(workspace string, now time.Duration) float64 {
 	return w.purse(workspace).left(now)
--- a/share/world_test.go
+++ b/share/world_test.go
@@ -284,7 +284,10 @@
 		case faultAcceptUnaskedAnswer:
 			p.pending = grant.ID
 		}
-		wallet.Answer(testWorkspace, grant, now)
+		if wallet.Answer(testWorkspace, grant, now) {
+			w.ask(v, need)
+			return
+		}
 		w.serveWaiting(v)
 	})
 }
