--- a/share/bank.go
+++ b/share/bank.go
@@ -13,7 +13,7 @@
 
 // reserveTime is how much of its own nodes' demand a bank keeps back from
 // banks of other zones.
-const reserveTime = 50 * time.Millisecond
+const reserveTime = 10 * time.Millisecond
 
 // BankConfig says which shard a bank is the owner of.
 type BankConfig struct {
--- /dev/null
+++ b/share/bench_test.go
@@ -0,0 +1,81 @@
+package share
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"auburngap/bundle"
+	"auburngap/peer/peerpb"
+)
+
+// plenty is an owner that never runs dry.
+type plenty struct{}
+
+func (plenty) Draw(_ context.Context, draw *peerpb.Draw) (*peerpb.DrawAnswer, error) {
+	return &peerpb.DrawAnswer{
+		Id: draw.Id, Loan: &peerpb.LoanID{Epoch: 1, Sequence: draw.Id},
+		Tokens: maxAmount, TimeToLiveMicros: time.Hour.Microseconds(),
+	}, nil
+}
+
+func manyWorkspaces(count int) (*bundle.Index, []string) {
+	b := &bundle.Bundle{Zones: []bundle.Zone{{Name: "zone0", Shards: 16}}}
+	var names []string
+	for i := range count {
+		names = append(names, fmt.Sprintf("workspace%d", i))
+		b.Workspaces = append(b.Workspaces, bundle.Workspace{Name: names[i], Rate: 1e6, Burst: 1e6})
+	}
+	return bundle.NewIndex(b), names
+}
+
+func BenchmarkTake(b *testing.B) {
+	for _, count := range []int{10, 100, 1000, 10000} {
+		b.Run(fmt.Sprintf("workspaces=%d", count), func(b *testing.B) {
+			index, names := manyWorkspaces(count)
+			start := time.Now()
+			client := NewClient(ClientConfig{
+				Zone: "zone0", Peers: plenty{}, Clock: func() time.Duration { return time.Since(start) },
+			})
+			client.Apply(index)
+			ctx := context.Background()
+			for _, name := range names {
+				if _, refusal := client.Take(ctx, name); refusal != nil {
+					b.Fatal(refusal)
+				}
+			}
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				if _, refusal := client.Take(ctx, names[i]); refusal != nil {
+					b.Fatal(refusal)
+				}
+				i = (i + 1) % count
+			}
+		})
+	}
+}
+
+func BenchmarkBankDraw(b *testing.B) {
+	for _, count := range []int{10, 100, 1000, 10000} {
+		b.Run(fmt.Sprintf("workspaces=%d", count), func(b *testing.B) {
+			index, names := manyWorkspaces(count)
+			index.Bundle.Zones[0].Shards = 1
+			bank := NewBank(BankConfig{Zone: "zone0", Epoch: 1, GainedAt: -time.Hour})
+			bank.Apply(index, 0)
+			b.ReportAllocs()
+			now, i, last := time.Duration(0), 0, make([]Report, count)
+			for b.Loop() {
+				now += 10 * time.Microsecond
+				draw := Draw{
+					ID: 1, Zone: "zone0", Borrower: "zone0", Workspace: names[i], Need: 1, Whole: true,
+					Reports: last[i : i+1],
+				}
+				grant, _ := bank.Draw(draw, now)
+				last[i] = Report{Loan: grant.Loan, Spent: 1, Closed: true}
+				i = (i + 1) % count
+			}
+		})
+	}
+}
--- a/share/lot.go
+++ b/share/lot.go
@@ -6,7 +6,7 @@
 )
 
 // lotIdle is how long a lot may lie unused before it goes back to its lender.
-const lotIdle = 200 * time.Millisecond
+const lotIdle = 30 * time.Millisecond
 
 // usable tells whether enough of the lot's time is left for a node to spend
 // from it.
--- a/share/owner.go
+++ b/share/owner.go
@@ -11,9 +11,14 @@
 
 const (
 	// returnInterval is how soon banks of other zones are told of spends.
-	returnInterval = 10 * time.Millisecond
+	returnInterval = 5 * time.Millisecond
 	// peerTimeout bounds a draw from another zone.
 	peerTimeout = 50 * time.Millisecond
+	// borrowRounds is how often the banks of other zones are asked for one
+	// draw: what they are believed to hold may be out of date.
+	borrowRounds = 8
+	// patience is how long a draw waits for tokens to accrue.
+	patience = 30 * time.Millisecond
 	// lookahead is the demand that a bank tries to have in stock.
 	lookahead = 30 * time.Millisecond
 )
@@ -158,29 +163,47 @@
 	return &peerpb.DrawAnswer{Id: draw.ID, NotOwner: true}
 }
 
-// borrow waits, unlocked, until the bank has what a node needs, or banks of
-// other zones have been asked.
+// borrow waits, unlocked, until the bank has what a node needs, the banks of
+// other zones have been asked, or tokens that are due any moment have accrued.
 func (o *Owner) borrow(ctx context.Context, d *desk, draw Draw) {
 	d.waiting[draw.Workspace] += draw.Need
 	defer d.settleWaiting(draw)
-	for range mostRounds {
+	for range borrowRounds {
 		now := o.config.Clock()
 		if d.bank.Available(draw.Workspace, now) >= draw.Need-wholeTolerance {
 			return
 		}
 		done := o.startBorrowing(d, draw.Workspace, d.waiting[draw.Workspace], now)
 		if done == nil {
-			return
+			done = accrued(d.bank.Accrual(draw.Workspace, d.waiting[draw.Workspace], now))
 		}
-		o.mu.Unlock()
-		select {
-		case <-done:
-		case <-ctx.Done():
+		if done == nil {
+			return
 		}
-		o.mu.Lock()
+		o.await(ctx, done)
+	}
+}
+
+// await unlocks while it waits.
+func (o *Owner) await(ctx context.Context, done chan struct{}) {
+	o.mu.Unlock()
+	defer o.mu.Lock()
+	select {
+	case <-done:
+	case <-ctx.Done():
 	}
 }
 
+// accrued returns a channel that closes after a short wait, nil for a long one.
+func accrued(wait time.Duration) chan struct{} {
+	if wait > patience {
+		return nil
+	}
+	done := make(chan struct{})
+	time.AfterFunc(max(wait, time.Millisecond), func() { close(done) })
+	return done
+}
+
 func (d *desk) settleWaiting(draw Draw) {
 	d.waiting[draw.Workspace] -= draw.Need
 	if d.waiting[draw.Workspace] <= 0 {
--- a/share/purse.go
+++ b/share/purse.go
@@ -8,8 +8,8 @@
 // maxHeld is how many loans of one workspace a node holds at once, and
 // spareHeld how many of them it keeps for requests that wait.
 const (
-	maxHeld   = 16
-	spareHeld = 4
+	maxHeld   = 8
+	spareHeld = 2
 )
 
 // The times by which a wallet asks and gives back.
--- a/share/shortage.go
+++ b/share/shortage.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -34,27 +35,44 @@
 		return nil
 	}
 	a.advance(now)
-	available := a.available(now)
 	estimates := b.estimates(a, workspace, now)
-	reachable := available
+	missing := whole(min(need, a.reachable(estimates, now))) - a.available(now)
+	return b.split(a, workspace, estimates, missing, now)
+}
+
+// reachable returns the tokens that nodes could be lent once those of other
+// zones are borrowed.
+func (a *account) reachable(estimates map[string]float64, now time.Duration) float64 {
+	sum := a.available(now)
 	for _, zone := range slices.Sorted(maps.Keys(estimates)) {
-		reachable += estimates[zone]
+		sum += estimates[zone]
 	}
-	missing := whole(min(need, reachable)) - available
-	if missing <= 0 {
-		return nil
+	return sum
+}
+
+// Accrual estimates how long it takes until need tokens are within reach.
+func (b *Bank) Accrual(workspace string, need float64, now time.Duration) time.Duration {
+	a, ok := b.accounts[workspace]
+	if !ok || a.limits.rate <= 0 {
+		return never
 	}
-	return b.split(a, workspace, estimates, min(1, missing/(reachable-available)), now)
+	a.advance(now)
+	missing := need - a.reachable(b.estimates(a, workspace, now), now)
+	seconds := min(missing/a.limits.rate, time.Hour.Seconds())
+	return time.Duration(seconds * float64(time.Second))
 }
 
-// split asks each zone for the same part of what it is believed to hold.
-func (b *Bank) split(a *account, workspace string, estimates map[string]float64, part float64, now time.Duration) []Draw {
+// split asks as few zones as it takes, those believed to hold most first.
+func (b *Bank) split(a *account, workspace string, estimates map[string]float64, missing float64, now time.Duration) []Draw {
+	zones := slices.Sorted(maps.Keys(estimates))
+	slices.SortStableFunc(zones, func(x, y string) int { return cmp.Compare(estimates[y], estimates[x]) })
 	var draws []Draw
-	for _, zone := range slices.Sorted(maps.Keys(estimates)) {
-		amount := estimates[zone] * part
+	for _, zone := range zones {
+		amount := min(missing, estimates[zone])
 		if amount <= 0 {
-			continue
+			break
 		}
+		missing -= amount
 		b.sequence++
 		p := a.peer(zone)
 		p.pending = b.sequence
