Record commitments before they run, and fence their dispatch

Cause: a payment or correction notice runs at most once, whatever happens to the owner that remembers it.

The owner's ledger records a key before it permits a dispatch. An owner without handed-over state calls keys minted before its start, plus what clocks may be off, unknown. The node beside the backend server refuses permissions that it has seen, that are too old, or from before a later owner. A changed layout is distrusted until it is in force everywhere.

Ruled out: answering "not run" while the home shard has no owner (an earlier request with the same key may have run, and a caller who believes it would pay with a new key); a lease check alone.

Proof: state machine with 3 zones, 6 shards, changing layouts, owners killed, handed over and paused between check and decision, permissions and outcomes lost, repeated and late, clocks off by the bound; runs are counted at the backend server.

--- /dev/null
+++ b/commitment/world_test.go
@@ -0,0 +1,353 @@
+package commitment
+
+import (
+	"encoding/binary"
+	"fmt"
+	"time"
+
+	"auburngap/bundle"
+	"auburngap/peer/peerpb"
+	"auburngap/request"
+)
+
+// chooser makes the random choices of a run: rapid, or a seeded source.
+type chooser interface {
+	Intn(n int) int
+}
+
+// fault is a mistake that is planted to see that the checks find it.
+type fault int
+
+const (
+	noFault fault = iota
+	faultSuccessorTrustsAbsence
+	faultNoSkewMargin
+	faultRecordAfterDispatch
+	faultReleaseByOldAttempt
+	faultFenceAllowsRepeats
+	faultHandoverDropsRecords
+	faultLayoutTrusted
+	faultForgetEarly
+	faultBadKeyTooSoon
+)
+
+// actor is a VM with its own wall clock and layout.
+type actor struct {
+	offset time.Duration
+	layout int
+}
+
+// holder is a home shard with its owner, nil between owners.
+type holder struct {
+	home   Home
+	vm     *actor
+	ledger *Ledger
+	epoch  uint64
+}
+
+// payment is what a caller wants to happen once.
+type payment struct {
+	key  Key
+	runs int
+	// answer is that of the first run.
+	answer string
+}
+
+// attempt is one request for a payment at an entry node.
+type attempt struct {
+	payment *payment
+	// started bounds the attempt: a request's deadline is within RunTimeout.
+	started    time.Time
+	id         request.ID
+	entry      *actor
+	dispatched bool
+	ended      bool
+	// claimed is true once the caller was told that the attempt has not run.
+	claimed bool
+}
+
+type world struct {
+	choose   chooser
+	fault    fault
+	terms    Terms
+	now      time.Time
+	layouts  []Layout
+	changed  time.Time
+	holders  []*holder
+	entries  []*actor
+	fences   []*Fence
+	clocks   []*actor
+	payments []*payment
+	attempts []*attempt
+	messages []func()
+	ids      uint64
+	verdicts map[Verdict]int
+	steps    []string
+	broken   error
+}
+
+func newWorld(choose chooser, f fault) *world {
+	w := &world{
+		choose: choose, fault: f, now: time.UnixMilli(1_800_000_000_000),
+		terms: Terms{
+			Window: 30 * time.Second, ClockSkew: 100 * time.Millisecond, Ahead: time.Second,
+			LayoutDelay: 3 * time.Second, PermissionLife: time.Second, RunTimeout: 4 * time.Second,
+		}.withDefaults(),
+		verdicts: make(map[Verdict]int),
+	}
+	w.layouts = []Layout{testLayout(1+choose.Intn(2), 1)}
+	for zone := range 3 {
+		for shard := range 2 {
+			w.holders = append(w.holders, &holder{home: Home{Zone: zoneName(zone), Shard: shard}})
+		}
+	}
+	for range 3 {
+		w.entries = append(w.entries, w.newActor())
+		w.fences = append(w.fences, NewFence(w.terms))
+		w.clocks = append(w.clocks, w.newActor())
+	}
+	w.changed = w.now.Add(-time.Hour)
+	for _, h := range w.holders {
+		w.gain(h, nil)
+	}
+	return w
+}
+
+func zoneName(i int) string { return fmt.Sprintf("zone%d", i) }
+
+func testLayout(zones, shards int) Layout {
+	b := &bundle.Bundle{}
+	for i := range zones {
+		b.Zones = append(b.Zones, bundle.Zone{Name: zoneName(i), Shards: shards})
+	}
+	return NewLayout(bundle.NewIndex(b))
+}
+
+func (w *world) newActor() *actor {
+	skew := int(w.terms.ClockSkew / time.Millisecond)
+	return &actor{offset: time.Duration(w.choose.Intn(2*skew+1)-skew) * time.Millisecond, layout: len(w.layouts) - 1}
+}
+
+func (w *world) read(a *actor) time.Time { return w.now.Add(a.offset) }
+
+func (w *world) send(deliver func()) { w.messages = append(w.messages, deliver) }
+
+func (w *world) holder(home Home) *holder {
+	for _, h := range w.holders {
+		if h.home == home {
+			return h
+		}
+	}
+	return nil
+}
+
+// gain gives a shard to a new owner.
+func (w *world) gain(h *holder, state *peerpb.LedgerState) {
+	h.epoch++
+	h.vm = w.newActor()
+	if w.now.Sub(w.changed) < w.terms.LayoutDelay && w.choose.Intn(2) == 0 {
+		h.vm.layout = max(0, len(w.layouts)-2)
+	}
+	config := LedgerConfig{
+		Home: h.home, Epoch: h.epoch, GainedAt: w.read(h.vm), LayoutSince: w.read(h.vm), Terms: w.terms, State: state,
+	}
+	if w.choose.Intn(2) == 0 && h.vm.layout == len(w.layouts)-1 {
+		// The VM has been up since before the layout changed.
+		config.LayoutSince = w.changed.Add(h.vm.offset)
+	}
+	if w.fault == faultHandoverDropsRecords && state != nil {
+		state.Records = nil
+	}
+	if w.fault == faultLayoutTrusted {
+		config.LayoutSince = config.LayoutSince.Add(-time.Hour)
+	}
+	h.ledger = NewLedger(config, w.layouts[h.vm.layout])
+	if w.fault == faultSuccessorTrustsAbsence && state == nil {
+		h.ledger.safeFrom = time.Time{}
+	}
+	if w.fault == faultNoSkewMargin && state == nil {
+		h.ledger.safeFrom = config.GainedAt
+	}
+}
+
+// pay is a caller's request, the first for a payment or a repeat.
+func (w *world) pay(p *payment) {
+	w.ids++
+	a := &attempt{payment: p, started: w.now, entry: w.entries[w.choose.Intn(len(w.entries))]}
+	binary.BigEndian.PutUint64(a.id[:], w.ids)
+	w.attempts = append(w.attempts, a)
+	w.begin(a)
+}
+
+func (w *world) newPayment() {
+	p := &payment{}
+	ahead := int((w.terms.Ahead - w.terms.ClockSkew) / time.Millisecond)
+	minted := w.now.Add(time.Duration(w.choose.Intn(2*ahead)-ahead) * time.Millisecond)
+	if w.choose.Intn(20) == 0 {
+		minted = w.now.Add(w.terms.Ahead + time.Duration(w.choose.Intn(400)-200)*time.Millisecond)
+	}
+	var padded [8]byte
+	binary.BigEndian.PutUint64(padded[:], uint64(minted.UnixMilli()))
+	copy(p.key[:6], padded[2:])
+	binary.BigEndian.PutUint64(p.key[8:], uint64(len(w.payments)+1)*0x9e3779b97f4a7c15)
+	p.key[6] = 0x70
+	p.key[8] = p.key[8]&0x3f | 0x80
+	w.payments = append(w.payments, p)
+	w.pay(p)
+}
+
+// begin asks the home shard's owner.
+func (w *world) begin(a *attempt) {
+	layout := w.layouts[a.entry.layout]
+	home, ok := layout.Home(a.payment.key)
+	if !ok {
+		return
+	}
+	w.send(func() {
+		h := w.holder(home)
+		if h.ledger == nil || w.layouts[h.vm.layout].Hash() != layout.Hash() {
+			return
+		}
+		ledger, now := h.ledger, w.read(h.vm)
+		decide := func() {
+			r := Request{Key: a.payment.key, ID: a.id, Workspace: "school", Fingerprint: "f"}
+			ruling := w.rule(ledger, r, now)
+			w.verdicts[ruling.Verdict]++
+			w.send(func() { w.ruled(a, ruling) })
+		}
+		if w.choose.Intn(20) == 0 {
+			// A pause between the check of the lease and what it guards.
+			w.send(decide)
+			return
+		}
+		decide()
+	})
+}
+
+func (w *world) rule(ledger *Ledger, r Request, now time.Time) Ruling {
+	ruling := ledger.Begin(r, now)
+	switch {
+	case w.fault == faultRecordAfterDispatch && ruling.Verdict == Run && ruling.Permission.Attempt == 1:
+		delete(ledger.records, r.Key)
+	case w.fault == faultForgetEarly:
+		ledger.horizon = time.Time{}
+		if known := ledger.records[r.Key]; known != nil && now.Sub(known.began) > 5*time.Second {
+			delete(ledger.records, r.Key)
+		}
+	case w.fault == faultBadKeyTooSoon && ruling.Verdict == Unavailable:
+		ruling.Verdict = BadKey
+	}
+	return ruling
+}
+
+// ruled is the entry node's reaction to a ruling.
+func (w *world) ruled(a *attempt, ruling Ruling) {
+	if w.over(a) {
+		return
+	}
+	if ruling.Verdict != Run {
+		if ruling.Verdict == Replay && string(ruling.Answer) != a.payment.answer {
+			w.fail("replayed %q, first answer %q", ruling.Answer, a.payment.answer)
+		}
+		a.ended = true
+		if ruling.Refusal().Outcome == request.NotRun {
+			w.claimNotRun(a)
+		}
+		return
+	}
+	if a.dispatched {
+		return
+	}
+	a.dispatched = true
+	if w.choose.Intn(15) == 0 {
+		w.finish(a, ruling.Permission, request.NotRun, "")
+		return
+	}
+	w.dispatch(a, ruling.Permission)
+}
+
+// dispatch sends to a backend server's node, where the run may be refused,
+// crash or lose its answer.
+func (w *world) dispatch(a *attempt, p Permission) {
+	i := w.choose.Intn(len(w.fences))
+	w.send(func() {
+		fence := w.fences[i]
+		if w.fault == faultFenceAllowsRepeats {
+			fence.used = make(map[Key]use)
+		}
+		switch fence.Admit(p, w.read(w.clocks[i])) {
+		case Stale:
+			w.send(func() { w.finish(a, p, request.NotRun, "") })
+		case Admitted:
+			w.runAt(a, p)
+		}
+	})
+}
+
+func (w *world) runAt(a *attempt, p Permission) {
+	kind := w.choose.Intn(10)
+	if kind == 0 {
+		// The backend server sheds the request.
+		w.send(func() { w.finish(a, p, request.NotRun, "") })
+		return
+	}
+	if a.claimed {
+		w.fail("key %s runs after it was said not to have run", a.payment.key)
+	}
+	a.payment.runs++
+	if a.payment.runs > 1 {
+		w.fail("key %s ran twice", a.payment.key)
+	}
+	if a.payment.answer == "" {
+		a.payment.answer = fmt.Sprintf("answer %d", w.ids)
+	}
+	if kind == 1 {
+		return // The backend server or its node crashes.
+	}
+	answer := a.payment.answer
+	w.send(func() { w.finish(a, p, request.Answered, answer) })
+}
+
+// finish ends an attempt at the entry node and tells the owner.
+func (w *world) finish(a *attempt, p Permission, outcome request.Outcome, answer string) {
+	if w.over(a) {
+		return
+	}
+	a.ended = true
+	if outcome == request.NotRun {
+		w.claimNotRun(a)
+	}
+	report := func() {
+		h := w.holder(p.Home)
+		if h.ledger == nil {
+			return
+		}
+		if known := h.ledger.records[p.Key]; w.fault == faultReleaseByOldAttempt && known != nil {
+			p.Attempt, p.Epoch = known.attempt, known.epoch
+		}
+		h.ledger.Finish(p, outcome, []byte(answer), w.read(h.vm))
+	}
+	w.send(report)
+	if w.choose.Intn(4) == 0 {
+		w.send(report)
+	}
+}
+
+// over tells whether the entry node has done with an attempt.
+func (w *world) over(a *attempt) bool {
+	return a.ended || w.now.Sub(a.started) > w.terms.RunTimeout
+}
+
+// claimNotRun checks the claim that a payment has not run.
+func (w *world) claimNotRun(a *attempt) {
+	a.claimed = true
+	if a.payment.runs > 0 {
+		w.fail("key %s is said not to have run", a.payment.key)
+	}
+}
+
+func (w *world) fail(format string, args ...any) {
+	if w.broken == nil {
+		w.broken = fmt.Errorf(format, args...)
+	}
+}
