--- a/commitment/doc.go
+++ b/commitment/doc.go
@@ -16,7 +16,7 @@
 //
 // # Usage
 //
-//	client := commitment.NewClient(commitment.ClientConfig{Peers: peers, Clock: time.Now})
+//	client := commitment.NewClient(commitment.ClientConfig{Peers: peers})
 //	client.Apply(index)
 //	ruling := client.Begin(ctx, commitment.Request{Key: key, ID: requestID, Workspace: "school", Fingerprint: sum})
 //	switch ruling.Verdict {
@@ -26,9 +26,9 @@
 //	}
 //
 //	fence := commitment.NewFence(terms)                // beside the backend server
-//	if !fence.Admit(permission, time.Now()) { ... }    // not run
+//	switch fence.Admit(permission, time.Now()) { ... } // Stale has not run
 //
-//	owner := commitment.NewOwner(commitment.OwnerConfig{Zone: "palermo", Gate: gate, Journal: journal, Clock: clock})
+//	owner := commitment.NewOwner(commitment.OwnerConfig{Zone: "palermo", Gate: gate, Clock: clock, Now: time.Now})
 //	owner.Gained(shard, epoch, nil)
 //	answer := owner.HandleBegin(ctx, begin)
 //
--- a/commitment/ledger.go
+++ b/commitment/ledger.go
@@ -37,7 +37,9 @@
 	expires     time.Time
 	answer      []byte
 	dropped     bool
-	journaled   bool
+	// cleared permissions may be handed out; journaled ones outlive the owner.
+	cleared   bool
+	journaled bool
 }
 
 // LedgerConfig says which shard a ledger is for.
@@ -135,10 +137,12 @@
 	switch {
 	case minted.After(latest.Add(2 * l.config.Terms.ClockSkew)):
 		return Ruling{Verdict: BadKey}, false
-	case minted.After(latest), len(l.records) >= l.config.Terms.Records:
+	case minted.After(latest):
 		return Ruling{Verdict: Unavailable, RetryAfter: progressRetry}, false
 	case !l.provenFresh(key, minted):
 		return Ruling{Verdict: Unknown}, false
+	case len(l.records) >= l.config.Terms.Records:
+		return Ruling{Verdict: NotRun, RetryAfter: progressRetry}, false
 	default:
 		return Ruling{}, true
 	}
@@ -175,8 +179,8 @@
 	case phaseDone:
 		return Ruling{Verdict: Replay, Answer: known.answer, AnswerDropped: known.dropped, Journaled: known.journaled}
 	case phaseRunning:
-		if known.request == r.ID && now.Before(known.expires) {
-			return Ruling{Verdict: Run, Permission: l.permission(known, r.Key)}
+		if known.request == r.ID {
+			return l.renew(known, r.Key, now)
 		}
 		return Ruling{Verdict: InProgress, RetryAfter: progressRetry}
 	default:
@@ -198,10 +202,18 @@
 	known.epoch = l.config.Epoch
 	known.began = now
 	known.expires = now.Add(l.config.Terms.PermissionLife)
+	known.cleared = false
 	known.journaled = false
 	return Ruling{Verdict: Run, Permission: l.permission(known, r.Key)}
 }
 
+// renew gives a request the permission again whose answer it has not had.
+func (l *Ledger) renew(known *record, key Key, now time.Time) Ruling {
+	known.epoch = l.config.Epoch
+	known.expires = now.Add(l.config.Terms.PermissionLife)
+	return Ruling{Verdict: Run, Permission: l.permission(known, key)}
+}
+
 func (l *Ledger) permission(known *record, key Key) Permission {
 	return Permission{
 		Home: l.config.Home, Epoch: known.epoch, Key: key,
@@ -223,9 +235,7 @@
 		known.phase = phaseDone
 		l.keepAnswer(known, answer)
 	case request.NotRun:
-		if known.epoch == p.Epoch {
-			known.phase = phaseReleased
-		}
+		known.phase = phaseReleased
 	default:
 		known.phase = phaseUnknown
 	}
@@ -239,12 +249,15 @@
 	known.answer = append([]byte(nil), answer...)
 }
 
-// Release takes back a permission that has not been handed out.
-func (l *Ledger) Release(p Permission) {
+// Release takes back a permission that has not been handed out, and returns
+// whether it was so.
+func (l *Ledger) Release(p Permission) bool {
 	known, ok := l.records[p.Key]
-	if ok && known.attempt == p.Attempt && known.phase == phaseRunning {
-		known.phase = phaseReleased
+	if !ok || known.attempt != p.Attempt || known.phase != phaseRunning || known.cleared {
+		return false
 	}
+	known.phase = phaseReleased
+	return true
 }
 
 // pruneInterval is how often old records are looked for.
--- a/commitment/verdict.go
+++ b/commitment/verdict.go
@@ -26,11 +26,13 @@
 	// Unavailable means that nothing was decided; a repeat with the same key
 	// may find out.
 	Unavailable
+	// NotRun means that the key has not run, and may not just now.
+	NotRun
 )
 
 var verdictNames = [...]string{
 	Unknown: "unknown", Run: "run", Replay: "replay", InProgress: "inProgress",
-	Conflict: "conflict", BadKey: "badKey", Unavailable: "unavailable",
+	Conflict: "conflict", BadKey: "badKey", Unavailable: "unavailable", NotRun: "notRun",
 }
 
 // String returns the word used in logs.
@@ -89,6 +91,8 @@
 		return request.Refuse(request.CauseInProgress, request.Unknown, r.RetryAfter)
 	case Unavailable:
 		return request.Refuse(request.CauseShardUnavailable, request.Unknown, r.RetryAfter)
+	case NotRun:
+		return request.Refuse(request.CauseShardUnavailable, request.NotRun, r.RetryAfter)
 	case Replay:
 		return request.Refuse(request.CauseOutcomeUnknown, request.Answered, 0)
 	default:
--- /dev/null
+++ b/commitment/wire.go
@@ -0,0 +1,98 @@
+package commitment
+
+import (
+	"time"
+
+	"auburngap/peer/peerpb"
+)
+
+func permissionToProto(p Permission) *peerpb.Permission {
+	return &peerpb.Permission{
+		AvailabilityZone:  p.Home.Zone,
+		Shard:             uint32(p.Home.Shard),
+		Epoch:             p.Epoch,
+		IdempotencyKey:    p.Key[:],
+		Attempt:           p.Attempt,
+		ExpiresUnixMicros: unixMicros(p.Expires),
+	}
+}
+
+// PermissionFromProto reads a permission of a peer's message, or returns
+// ErrBadKey.
+func PermissionFromProto(m *peerpb.Permission) (Permission, error) {
+	key, err := KeyFromBytes(m.GetIdempotencyKey())
+	if err != nil {
+		return Permission{}, err
+	}
+	return Permission{
+		Home:    Home{Zone: m.GetAvailabilityZone(), Shard: int(m.GetShard())},
+		Epoch:   m.GetEpoch(),
+		Key:     key,
+		Attempt: m.GetAttempt(),
+		Expires: timeOf(m.GetExpiresUnixMicros()),
+	}, nil
+}
+
+// ToProto returns the permission as a peer's message carries it.
+func (p Permission) ToProto() *peerpb.Permission {
+	return permissionToProto(p)
+}
+
+func requestToProto(r Request, home Home, layout Layout) *peerpb.Begin {
+	return &peerpb.Begin{
+		AvailabilityZone: home.Zone,
+		Shard:            uint32(home.Shard),
+		IdempotencyKey:   r.Key[:],
+		Workspace:        r.Workspace,
+		Fingerprint:      []byte(r.Fingerprint),
+		Layout:           layout.hash,
+		RequestId:        r.ID[:],
+	}
+}
+
+func requestFromProto(m *peerpb.Begin) (Request, error) {
+	key, err := KeyFromBytes(m.GetIdempotencyKey())
+	if err != nil {
+		return Request{}, err
+	}
+	r := Request{Key: key, Workspace: m.GetWorkspace(), Fingerprint: string(m.GetFingerprint())}
+	copy(r.ID[:], m.GetRequestId())
+	return r, nil
+}
+
+func rulingToProto(r Ruling) *peerpb.BeginAnswer {
+	answer := &peerpb.BeginAnswer{
+		Verdict:          peerpb.CommitmentVerdict(r.Verdict),
+		Answer:           r.Answer,
+		AnswerDropped:    r.AnswerDropped,
+		RetryAfterMicros: r.RetryAfter.Microseconds(),
+		Journaled:        r.Journaled,
+	}
+	if r.Verdict == Run {
+		answer.Permission = permissionToProto(r.Permission)
+	}
+	return answer
+}
+
+// rulingFromProto turns a message that makes no sense into Unavailable.
+func rulingFromProto(m *peerpb.BeginAnswer) Ruling {
+	r := Ruling{
+		Verdict:       Verdict(m.GetVerdict()),
+		Answer:        m.GetAnswer(),
+		AnswerDropped: m.GetAnswerDropped(),
+		RetryAfter:    time.Duration(m.GetRetryAfterMicros()) * time.Microsecond,
+		Journaled:     m.GetJournaled(),
+	}
+	if r.Verdict > NotRun {
+		return Ruling{Verdict: Unavailable}
+	}
+	if r.Verdict != Run {
+		return r
+	}
+	permission, err := PermissionFromProto(m.GetPermission())
+	if err != nil {
+		return Ruling{Verdict: Unavailable}
+	}
+	r.Permission = permission
+	return r
+}
