--- a/app/app.go
+++ b/app/app.go
@@ -7,15 +7,65 @@
 package app
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+)
+
+// The exit codes of every command.
+const (
+	ExitOK = 0
+	// ExitFailed means that the command did not do what was asked.
+	ExitFailed = 1
+	// ExitUsage means that the command line or a file that it names is wrong.
+	ExitUsage = 2
 )
 
 // Run executes one command line and returns the process's exit code.
 func Run(args []string, stdout, stderr io.Writer) int {
-	if _, err := fmt.Fprintln(stderr, "auburngap: no command yet", args); err != nil {
-		return 1
+	var line commandLine
+	parser, err := arg.NewParser(arg.Config{Program: "auburngap", Out: stderr}, &line)
+	if err != nil {
+		return fail(stderr, err)
 	}
-	_ = stdout
-	return 2
+	if code, done := parse(parser, args, stdout, stderr); done {
+		return code
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	return line.run(ctx, parser, stdout, stderr)
+}
+
+// parse returns true where the command line asks for nothing more to be done.
+func parse(parser *arg.Parser, args []string, stdout, stderr io.Writer) (int, bool) {
+	switch err := parser.Parse(args); {
+	case errors.Is(err, arg.ErrHelp):
+		if err := parser.WriteHelpForSubcommand(stdout, parser.SubcommandNames()...); err != nil {
+			return fail(stderr, err), true
+		}
+		return ExitOK, true
+	case errors.Is(err, arg.ErrVersion):
+		printLine(stdout, version)
+		return ExitOK, true
+	case err != nil:
+		printLine(stderr, "auburngap: "+err.Error())
+		printLine(stderr, textTryHelp)
+		return ExitUsage, true
+	}
+	return ExitOK, false
+}
+
+func fail(stderr io.Writer, err error) int {
+	printLine(stderr, "auburngap: "+err.Error())
+	return ExitFailed
+}
+
+// printLine prints for people; there is nobody to tell when that fails.
+func printLine(out io.Writer, line string) {
+	_, _ = fmt.Fprintln(out, line)
 }
--- /dev/null
+++ b/app/commands.go
@@ -0,0 +1,48 @@
+package app
+
+import (
+	"context"
+	"io"
+
+	"github.com/alexflint/go-arg"
+
+	"auburngap/platform/fake"
+)
+
+// commandLine is every command with its arguments.
+type commandLine struct {
+	Node         *nodeCommand        `arg:"subcommand:node" help:"run the node beside a backend server"`
+	Settings     *settingsCommand    `arg:"subcommand:settings" help:"check a node's settings"`
+	PlatformFake *fake.Command       `arg:"subcommand:platform-fake" help:"run a stand-in of the platform's key-value service, for tests"`
+	BackendFake  *backendFakeCommand `arg:"subcommand:backend-fake" help:"run a fake backend server, for tests"`
+}
+
+// Description implements arg.Described.
+func (commandLine) Description() string { return textDescription }
+
+// Epilogue implements arg.Epilogued.
+func (commandLine) Epilogue() string { return textEpilogue }
+
+// Version implements arg.Versioned.
+func (commandLine) Version() string { return version }
+
+func (c *commandLine) run(ctx context.Context, parser *arg.Parser, stdout, stderr io.Writer) int {
+	switch {
+	case c.Node != nil:
+		return c.Node.run(ctx, stderr)
+	case c.Settings != nil:
+		return c.Settings.run(stdout, stderr)
+	case c.PlatformFake != nil:
+		if err := c.PlatformFake.Run(ctx, stdout); err != nil {
+			return fail(stderr, err)
+		}
+		return ExitOK
+	case c.BackendFake != nil:
+		if err := c.BackendFake.run(ctx); err != nil {
+			return fail(stderr, err)
+		}
+		return ExitOK
+	}
+	parser.WriteHelp(stderr)
+	return ExitUsage
+}
--- /dev/null
+++ b/app/node.go
@@ -0,0 +1,85 @@
+package app
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"auburngap/node"
+	"auburngap/platform"
+	"auburngap/settings"
+)
+
+// nodeCommand runs the node beside a backend server.
+type nodeCommand struct {
+	Settings string `arg:"--settings,required" placeholder:"FILE" help:"settings, JSON with comments"`
+}
+
+func (c *nodeCommand) run(ctx context.Context, stderr io.Writer) int {
+	read, err := settings.Read(c.Settings)
+	if err != nil {
+		return failSettings(stderr, err)
+	}
+	logger, err := newLogger(read, stderr)
+	if err != nil {
+		return fail(stderr, err)
+	}
+	client := platform.NewHTTPClient(platform.HTTPConfig{
+		Address: read.PlatformAddress,
+		Timeout: time.Duration(read.PlatformTimeout),
+	})
+	n, err := node.New(node.Config{Settings: read, Platform: client, Logger: logger})
+	if err != nil {
+		return fail(stderr, err)
+	}
+	if err := n.Run(ctx); err != nil {
+		return fail(stderr, err)
+	}
+	return ExitOK
+}
+
+func failSettings(stderr io.Writer, err error) int {
+	var faults *settings.FaultsError
+	if errors.As(err, &faults) {
+		printLine(stderr, faults.Error())
+		return ExitUsage
+	}
+	return fail(stderr, err)
+}
+
+// newLogger returns a logger of JSON lines with the VM's name in each.
+func newLogger(s settings.Node, out io.Writer) (*zap.Logger, error) {
+	level, err := zapcore.ParseLevel(s.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.ISO8601TimeEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.Lock(zapcore.AddSync(out)), level)
+	return zap.New(core).With(zap.String("vm", s.VM)), nil
+}
+
+// settingsCommand is "auburngap settings ...".
+type settingsCommand struct {
+	Check *settingsCheckCommand `arg:"subcommand:check" help:"print every fault of a settings file"`
+}
+
+type settingsCheckCommand struct {
+	File string `arg:"positional,required" placeholder:"FILE"`
+}
+
+func (c *settingsCommand) run(stdout, stderr io.Writer) int {
+	if c.Check == nil {
+		printLine(stderr, textTryHelp)
+		return ExitUsage
+	}
+	if _, err := settings.Read(c.Check.File); err != nil {
+		return failSettings(stderr, err)
+	}
+	printLine(stdout, c.Check.File+": "+textNoFault)
+	return ExitOK
+}
--- /dev/null
+++ b/app/text.go
@@ -0,0 +1,16 @@
+package app
+
+// The texts of the command line.
+const (
+	version = "auburngap 0.1.0"
+
+	textDescription = "auburngap is an overload control layer for service call graphs."
+	textEpilogue    = `Examples:
+  auburngap settings check node.json
+  auburngap node --settings node.json
+  auburngap bundle check bundle.json
+
+Exit codes: 0 done, 1 failed, 2 wrong usage or a faulty file.`
+	textTryHelp = "Try: auburngap --help"
+	textNoFault = "no fault found"
+)
--- /dev/null
+++ b/backend/client.go
@@ -0,0 +1,207 @@
+package backend
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"auburngap/httpconn"
+	"auburngap/request"
+)
+
+// ClientConfig configures a Client.
+type ClientConfig struct {
+	Tokens *Tokens
+	// Announced returns the last announcement; false while there is none.
+	Announced func() (Announcement, bool)
+}
+
+// Client hands calls to the backend server of this VM.
+type Client struct {
+	config      ClientConfig
+	connections connections
+}
+
+// NewClient returns a client without connections.
+func NewClient(config ClientConfig) *Client {
+	return &Client{config: config}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() {
+	c.connections.close()
+}
+
+// Serve implements request.Handler.
+func (c *Client) Serve(ctx context.Context, call *request.Call) (*request.Answer, error) {
+	announced, ok := c.config.Announced()
+	if !ok || announced.Service != call.Service {
+		return nil, request.Refuse(request.CauseNoBackend, request.NotRun, 0)
+	}
+	conn, err := c.connections.get(ctx, announced.Address, call.Commitment)
+	if err != nil {
+		return nil, refusalOf(ctx, request.CauseNoBackend, request.NotRun)
+	}
+	token, live, end := c.config.Tokens.Add(ctx, call)
+	e := &exchange{
+		client:  c,
+		conn:    conn,
+		address: announced.Address,
+		limit:   announced.Connections,
+		live:    live,
+		end:     end,
+	}
+	e.stop = context.AfterFunc(ctx, e.cancel)
+	answer, err := e.run(call, token)
+	if err != nil {
+		e.finish(false)
+		return nil, e.refusal(ctx)
+	}
+	return answer, nil
+}
+
+// exchange is one call on its connection.
+type exchange struct {
+	client   *Client
+	conn     *connection
+	address  netip.AddrPort
+	limit    int
+	live     *LiveCall
+	end      func()
+	stop     func() bool
+	response *fasthttp.Response
+	body     io.Reader
+	ended    bool
+	finished atomic.Bool
+}
+
+func (e *exchange) run(call *request.Call, token string) (*request.Answer, error) {
+	if err := e.send(call, token); err != nil {
+		// A server that has answered early may have closed its side.
+		if receiveErr := e.receive(call); receiveErr != nil {
+			return nil, err
+		}
+		return e.answer(call), nil
+	}
+	if err := e.receive(call); err != nil {
+		return nil, err
+	}
+	return e.answer(call), nil
+}
+
+func (e *exchange) send(call *request.Call, token string) error {
+	out := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(out)
+	header := &out.Header
+	header.SetNoDefaultContentType(true)
+	header.SetMethod(call.Method)
+	header.SetRequestURIBytes(call.URI)
+	header.SetHost(e.address.String())
+	httpconn.AddHeaders(header, call.Headers)
+	header.Set(httpconn.HeaderToken, token)
+	header.Set(httpconn.HeaderRequestID, call.Context.ID.String())
+	header.Set(httpconn.HeaderTimeout, strconv.FormatInt(max(time.Until(call.Context.Deadline).Milliseconds(), 1), 10))
+	if len(call.IdempotencyKey) > 0 {
+		header.SetBytesV(httpconn.HeaderIdempotencyKey, call.IdempotencyKey)
+	}
+	if call.Body != nil {
+		out.SetBodyStream(httpconn.WithTrailers(call.Body, call.Trailers, header), int(call.BodySize))
+	}
+	if err := out.Write(e.conn.writer); err != nil {
+		return err
+	}
+	return e.conn.writer.Flush()
+}
+
+func (e *exchange) receive(call *request.Call) error {
+	response := fasthttp.AcquireResponse()
+	e.response = response
+	response.StreamBody = true
+	response.SkipBody = call.Method == fasthttp.MethodHead
+	return response.ReadLimitBody(e.conn.reader, 0)
+}
+
+func (e *exchange) answer(call *request.Call) *request.Answer {
+	header := &e.response.Header
+	size := int64(header.ContentLength())
+	if size < -1 {
+		size = -1
+	}
+	e.body = e.response.BodyStream()
+	if e.body == nil {
+		e.ended = true
+		if call.Method != fasthttp.MethodHead {
+			size = 0
+		}
+	}
+	return &request.Answer{
+		Status:   header.StatusCode(),
+		Headers:  httpconn.ResponseHeaders(header),
+		Body:     e,
+		BodySize: size,
+		Trailers: func() []request.Header { return httpconn.Trailers(header) },
+		Report:   e.live.Report,
+	}
+}
+
+// Read implements io.Reader for the answer's body.
+func (e *exchange) Read(p []byte) (int, error) {
+	if e.ended {
+		return 0, io.EOF
+	}
+	n, err := e.body.Read(p)
+	if err == io.EOF {
+		e.ended = true
+	}
+	return n, err
+}
+
+// Close implements io.Closer: it ends the call's token and keeps the
+// connection where the answer was read to its end.
+func (e *exchange) Close() error {
+	e.finish(e.ended)
+	return nil
+}
+
+func (e *exchange) finish(reusable bool) {
+	if !e.finished.CompareAndSwap(false, true) {
+		return
+	}
+	e.end()
+	stopped := e.stop()
+	if !reusable || !stopped || e.response.ConnectionClose() {
+		_ = e.conn.conn.Close()
+		return
+	}
+	e.client.connections.put(e.conn, e.address, e.limit)
+}
+
+// cancel closes the connection, which is how a backend server learns that
+// nobody waits for its answer.
+func (e *exchange) cancel() {
+	_ = e.conn.conn.Close()
+}
+
+// refusal tells what is known of a call that broke off. Nothing less than an
+// answer proves that a call has not run once the connection was made.
+func (e *exchange) refusal(ctx context.Context) *request.Refusal {
+	refusal := refusalOf(ctx, request.CauseBackendFailed, request.Unknown)
+	refusal.Report = e.live.Report()
+	return refusal
+}
+
+// refusalOf gives the context's end as the cause where it has ended.
+func refusalOf(ctx context.Context, cause request.Cause, outcome request.Outcome) *request.Refusal {
+	switch ctx.Err() {
+	case context.DeadlineExceeded:
+		cause = request.CauseDeadline
+	case context.Canceled:
+		cause = request.CauseCancelled
+	}
+	return request.Refuse(cause, outcome, 0)
+}
--- /dev/null
+++ b/backend/fake/fake.go
@@ -0,0 +1,232 @@
+// Package fake is a small backend server for tests, the demo and
+// measurements: it announces itself to its node, does work of a stated
+// duration within its slots, calls other services through its node, and counts
+// what it has run.
+//
+// # Usage
+//
+//	server := fake.New(fake.Config{Service: "orders", Node: nodeAddress, Slots: 35, Connections: 300})
+//	go server.Run(ctx, listener)
+//	...
+//	runs := server.Runs("key")
+package fake
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"auburngap/backend"
+	"auburngap/httpconn"
+)
+
+const (
+	callTimeout          = 30 * time.Second
+	announceTimeout      = time.Second
+	idempotencyKeyHeader = httpconn.HeaderIdempotencyKey
+)
+
+// Config configures a Server.
+type Config struct {
+	Service string
+	// Node is the backend address of the node on the same VM.
+	Node        netip.AddrPort
+	Slots       int
+	Connections int
+	// Work is how long one request takes; it may be changed by SetWork.
+	Work time.Duration
+	// Calls are the services that each request calls, one after the other.
+	Calls []string
+	// Parallel makes the calls at the same time.
+	Parallel bool
+	// Observe is told of every request head and may be nil.
+	Observe func(ctx *fasthttp.RequestCtx)
+	// Respond writes the answer instead of the usual echo; it may be nil.
+	Respond func(ctx *fasthttp.RequestCtx)
+}
+
+// Server is a fake backend server.
+type Server struct {
+	config   Config
+	client   fasthttp.Client
+	work     atomic.Int64
+	draining atomic.Bool
+	silent   atomic.Bool
+	running  atomic.Int64
+	total    atomic.Int64
+
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// New returns a server that is not announced yet.
+func New(config Config) *Server {
+	s := &Server{config: config, runs: make(map[string]int)}
+	s.work.Store(int64(config.Work))
+	s.client = fasthttp.Client{MaxConnsPerHost: config.Connections + 1024, ReadTimeout: callTimeout}
+	return s
+}
+
+// SetWork changes how long one request takes.
+func (s *Server) SetWork(d time.Duration) { s.work.Store(int64(d)) }
+
+// SetDraining announces that the server takes no new work, or that it does again.
+func (s *Server) SetDraining(draining bool) { s.draining.Store(draining) }
+
+// SetSilent stops the announcements.
+func (s *Server) SetSilent(silent bool) { s.silent.Store(silent) }
+
+// Runs returns how many requests with the Idempotency-Key have been started.
+func (s *Server) Runs(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[key]
+}
+
+// Total returns how many requests have been started.
+func (s *Server) Total() int64 { return s.total.Load() }
+
+// Running returns how many requests run now.
+func (s *Server) Running() int64 { return s.running.Load() }
+
+// Run serves and announces until the context ends.
+func (s *Server) Run(ctx context.Context, listener net.Listener) error {
+	http := &fasthttp.Server{
+		Handler:               s.handle,
+		NoDefaultServerHeader: true,
+		StreamRequestBody:     true,
+		CloseOnShutdown:       true,
+		Logger:                quiet{},
+	}
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return http.Serve(listener) })
+	group.Go(func() error {
+		s.announceUntil(ctx, address)
+		shutdown, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		return http.ShutdownWithContext(shutdown)
+	})
+	return group.Wait()
+}
+
+func (s *Server) announceUntil(ctx context.Context, address netip.AddrPort) {
+	ticker := time.NewTicker(backend.HeartbeatInterval / 4)
+	defer ticker.Stop()
+	for {
+		if !s.silent.Load() {
+			// A node that is not there yet is tried again by the next heartbeat.
+			_ = s.announce(address)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Server) announce(address netip.AddrPort) error {
+	body, err := json.Marshal(backend.Announcement{
+		Service:     s.config.Service,
+		Address:     address,
+		Slots:       s.config.Slots,
+		Connections: s.config.Connections,
+		Load:        min(1, float64(s.running.Load())/float64(s.config.Slots)),
+		Draining:    s.draining.Load(),
+	})
+	if err != nil {
+		return err
+	}
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetRequestURI("http://" + s.config.Node.String() + backend.PathAnnounce)
+	request.SetBody(body)
+	return s.client.DoTimeout(request, response, announceTimeout)
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	s.total.Add(1)
+	s.running.Add(1)
+	defer s.running.Add(-1)
+	if key := ctx.Request.Header.Peek(idempotencyKeyHeader); len(key) > 0 {
+		s.mu.Lock()
+		s.runs[string(key)]++
+		s.mu.Unlock()
+	}
+	if s.config.Observe != nil {
+		s.config.Observe(ctx)
+	}
+	time.Sleep(time.Duration(s.work.Load()))
+	if status := s.callOthers(ctx); status >= fasthttp.StatusInternalServerError {
+		ctx.SetStatusCode(fasthttp.StatusBadGateway)
+		ctx.SetBodyString("a call to another service failed\n")
+		return
+	}
+	if s.config.Respond != nil {
+		s.config.Respond(ctx)
+		return
+	}
+	s.echo(ctx)
+}
+
+// echo answers with the service's name, the method, the URI and the body.
+func (s *Server) echo(ctx *fasthttp.RequestCtx) {
+	var out bytes.Buffer
+	out.WriteString(s.config.Service + " " + string(ctx.Method()) + " " + string(ctx.RequestURI()) + "\n")
+	out.Write(ctx.Request.Body())
+	ctx.SetContentType("text/plain")
+	ctx.SetBody(out.Bytes())
+}
+
+// callOthers returns the highest status of the calls.
+func (s *Server) callOthers(ctx *fasthttp.RequestCtx) int {
+	token := bytes.Clone(ctx.Request.Header.Peek(httpconn.HeaderToken))
+	statuses := make([]int, len(s.config.Calls))
+	var group errgroup.Group
+	if !s.config.Parallel {
+		group.SetLimit(1)
+	}
+	for i, service := range s.config.Calls {
+		group.Go(func() error {
+			statuses[i] = s.callOther(token, service)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	highest := 0
+	for _, status := range statuses {
+		highest = max(highest, status)
+	}
+	return highest
+}
+
+func (s *Server) callOther(token []byte, service string) int {
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + s.config.Node.String() + backend.PathCall + service + "/")
+	request.Header.SetBytesV(httpconn.HeaderToken, token)
+	if err := s.client.Do(request, response); err != nil {
+		return fasthttp.StatusBadGateway
+	}
+	return response.StatusCode()
+}
+
+// quiet drops fasthttp's own messages.
+type quiet struct{}
+
+// Printf implements fasthttp.Logger.
+func (quiet) Printf(string, ...any) {}
--- /dev/null
+++ b/caller/admit.go
@@ -0,0 +1,191 @@
+package caller
+
+import (
+	"bytes"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"auburngap/bundle"
+	"auburngap/httpconn"
+	"auburngap/request"
+)
+
+var bearer = []byte("Bearer ")
+
+// admit makes the call of a request, or refuses it. The call is never nil, so
+// that refusals can be recorded with what is known of them.
+func (s *Server) admit(ctx *fasthttp.RequestCtx, now time.Time) (*request.Call, *request.Refusal) {
+	call := &request.Call{}
+	index := s.config.Bundle()
+	if index == nil {
+		return call, request.Refuse(request.CauseStaleBundle, request.NotRun, time.Second)
+	}
+	route, ok := index.Match(string(ctx.Method()), string(ctx.Path()))
+	if !ok {
+		return call, request.Refuse(request.CauseNoRoute, request.NotRun, 0)
+	}
+	call.Service = route.Service
+	call.Context = request.Context{
+		Route:         route.Name,
+		Priority:      route.Priority,
+		RetryBudget:   route.RetryBudget,
+		BundleVersion: index.Bundle.Version,
+	}
+	if refusal := s.identify(ctx, index, route, call); refusal != nil {
+		return call, refusal
+	}
+	if refusal := fillCall(ctx, route, call, now); refusal != nil {
+		return call, refusal
+	}
+	return call, nil
+}
+
+// identify finds the workspace by the key that came with the request.
+func (s *Server) identify(ctx *fasthttp.RequestCtx, index *bundle.Index, route *bundle.Route, call *request.Call) *request.Refusal {
+	key, refusal := keyOf(&ctx.Request.Header)
+	if refusal != nil {
+		return refusal
+	}
+	if key != nil && repeatsKey(&ctx.Request.Header, key) {
+		return request.Refuse(request.CauseBadRequest, request.NotRun, 0)
+	}
+	if route.Open {
+		return nil
+	}
+	if key == nil {
+		return request.Refuse(request.CauseNoKey, request.NotRun, 0)
+	}
+	workspace, ok := index.WorkspaceOf(key)
+	if !ok {
+		return request.Refuse(request.CauseUnknownKey, request.NotRun, 0)
+	}
+	if !route.Allows(workspace.Name) {
+		return request.Refuse(request.CauseWorkspaceNotAllowed, request.NotRun, 0)
+	}
+	if s.config.Stale != nil && s.config.Stale(workspace) {
+		return request.Refuse(request.CauseStaleBundle, request.NotRun, time.Second)
+	}
+	call.Context.Workspace = workspace.Name
+	return nil
+}
+
+// keyOf returns the key of a request, nil where there is none.
+func keyOf(h *fasthttp.RequestHeader) ([]byte, *request.Refusal) {
+	own := h.Peek(httpconn.HeaderKey)
+	authorization := h.Peek(fasthttp.HeaderAuthorization)
+	token, isBearer := bytes.CutPrefix(authorization, bearer)
+	if !isBearer {
+		token = nil
+	}
+	if len(own) > 0 && len(token) > 0 && !bytes.Equal(own, token) {
+		return nil, request.Refuse(request.CauseBadRequest, request.NotRun, 0)
+	}
+	if len(own) > 0 {
+		return own, nil
+	}
+	if len(token) > 0 {
+		return token, nil
+	}
+	return nil, nil
+}
+
+// minKeyBytes is the length from which a key is searched for in other places.
+const minKeyBytes = 8
+
+// repeatsKey tells whether the key stands in the URI or in a header that would
+// be passed on to backend servers.
+func repeatsKey(h *fasthttp.RequestHeader, key []byte) bool {
+	if len(key) < minKeyBytes {
+		return false
+	}
+	if bytes.Contains(h.RequestURI(), key) {
+		return true
+	}
+	if decoded, err := url.QueryUnescape(string(h.RequestURI())); err == nil && bytes.Contains([]byte(decoded), key) {
+		return true
+	}
+	for name, value := range h.All() {
+		if isKeyHeader(name) {
+			continue
+		}
+		if bytes.Contains(value, key) || bytes.Contains(name, key) {
+			return true
+		}
+	}
+	return false
+}
+
+func isKeyHeader(name []byte) bool {
+	return httpconn.IsOwn(name) || bytes.EqualFold(name, []byte(fasthttp.HeaderAuthorization))
+}
+
+func fillCall(ctx *fasthttp.RequestCtx, route *bundle.Route, call *request.Call, now time.Time) *request.Refusal {
+	id, err := request.NewID()
+	if err != nil {
+		return request.Refuse(request.CauseOverload, request.NotRun, time.Second)
+	}
+	timeout, refusal := timeoutOf(ctx, route)
+	if refusal != nil {
+		return refusal
+	}
+	call.Context.ID = id
+	call.Context.Deadline = now.Add(timeout)
+	call.Method = string(ctx.Method())
+	call.URI = bytes.Clone(ctx.Request.Header.RequestURI())
+	call.Headers = withoutKey(httpconn.RequestHeaders(&ctx.Request.Header))
+	call.Commitment = route.Commitment
+	call.Idempotent = !route.Commitment && (route.Idempotent || isSafe(call.Method))
+	call.IdempotencyKey = bytes.Clone(ctx.Request.Header.Peek(httpconn.HeaderIdempotencyKey))
+	return fillBody(ctx, call)
+}
+
+// isSafe tells whether HTTP itself allows a method's repetition, unless the
+// route marks it as a commitment.
+func isSafe(method string) bool {
+	return method == fasthttp.MethodGet || method == fasthttp.MethodHead || method == fasthttp.MethodOptions
+}
+
+func fillBody(ctx *fasthttp.RequestCtx, call *request.Call) *request.Refusal {
+	size := int64(ctx.Request.Header.ContentLength())
+	if size < -1 {
+		size = 0
+	}
+	body, err := httpconn.ReadBody(ctx.RequestBodyStream(), size)
+	if err != nil {
+		return request.Refuse(request.CauseBadRequest, request.NotRun, 0)
+	}
+	call.Body = body.Reader
+	call.BodySize = body.Size
+	call.Replay = body.Replay
+	if body.Replay == nil {
+		call.Trailers = func() []request.Header { return httpconn.Trailers(&ctx.Request.Header) }
+	}
+	return nil
+}
+
+func withoutKey(headers []request.Header) []request.Header {
+	kept := headers[:0]
+	for _, h := range headers {
+		if !bytes.EqualFold(h.Name, []byte(fasthttp.HeaderAuthorization)) {
+			kept = append(kept, h)
+		}
+	}
+	return kept
+}
+
+// timeoutOf returns the route's timeout, or the caller's own where that is shorter.
+func timeoutOf(ctx *fasthttp.RequestCtx, route *bundle.Route) (time.Duration, *request.Refusal) {
+	timeout := route.Timeout.Or(defaultTimeout)
+	text := ctx.Request.Header.Peek(httpconn.HeaderTimeout)
+	if len(text) == 0 {
+		return timeout, nil
+	}
+	millis, err := strconv.Atoi(string(text))
+	if err != nil || millis <= 0 {
+		return 0, request.Refuse(request.CauseBadRequest, request.NotRun, 0)
+	}
+	return min(timeout, time.Duration(millis)*time.Millisecond), nil
+}
--- /dev/null
+++ b/httpconn/answer.go
@@ -0,0 +1,133 @@
+package httpconn
+
+import (
+	"context"
+	"io"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"auburngap/request"
+)
+
+// Exchange carries one request from a fasthttp handler to a request.Handler
+// and its answer back.
+type Exchange struct {
+	Next request.Handler
+	// Done is called once the answer has ended or the request was refused.
+	Done func(status int, refusal *request.Refusal)
+}
+
+// Run serves the call and writes the answer to ctx. The context handed to the
+// call ends with its deadline, with the caller's connection and with the
+// answer's end.
+func (e Exchange) Run(parent context.Context, ctx *fasthttp.RequestCtx, call *request.Call) {
+	callContext, cancel := context.WithDeadline(parent, call.Context.Deadline)
+	// A body that is still being read tells of a broken connection itself.
+	conn, watched := ctx.Conn().(*Conn)
+	if watched && call.Replay != nil {
+		conn.Watch(cancel)
+		defer conn.Unwatch()
+	}
+	answer, err := e.Next.Serve(callContext, call)
+	if err != nil {
+		cancel()
+		refusal := request.AsRefusal(err)
+		WriteRefusal(ctx, refusal)
+		e.done(refusal.Cause.Status(), refusal)
+		return
+	}
+	e.writeAnswer(ctx, answer, cancel)
+}
+
+func (e Exchange) done(status int, refusal *request.Refusal) {
+	if e.Done != nil {
+		e.Done(status, refusal)
+	}
+}
+
+func (e Exchange) writeAnswer(ctx *fasthttp.RequestCtx, answer *request.Answer, cancel context.CancelFunc) {
+	response := &ctx.Response
+	response.Header.SetNoDefaultContentType(true)
+	response.SetStatusCode(answer.Status)
+	AddHeaders(&response.Header, answer.Headers)
+	response.Header.Set(HeaderOutcome, request.Answered.String())
+
+	finish := func() {
+		_ = answer.Body.Close()
+		cancel()
+		e.done(answer.Status, nil)
+	}
+	if ctx.IsHead() {
+		response.SkipBody = true
+		if answer.BodySize > 0 {
+			response.Header.SetContentLength(int(answer.BodySize))
+		}
+		finish()
+		return
+	}
+	if answer.BodySize >= 0 && answer.BodySize <= SmallBodyBytes {
+		e.writeSmall(ctx, answer, finish)
+		return
+	}
+	body := WithTrailers(answer.Body, answer.Trailers, &response.Header)
+	response.SetBodyStream(&closingReader{in: body, finish: finish}, int(answer.BodySize))
+}
+
+// writeSmall reads a small body whole, so that one that breaks off becomes a
+// clear refusal instead of a short answer.
+func (e Exchange) writeSmall(ctx *fasthttp.RequestCtx, answer *request.Answer, finish func()) {
+	// One byte more tells of a body that is longer than was stated.
+	data := make([]byte, answer.BodySize+1)
+	n, err := io.ReadFull(answer.Body, data)
+	if (err != io.EOF && err != io.ErrUnexpectedEOF) || int64(n) != answer.BodySize {
+		_ = answer.Body.Close()
+		ctx.Response.Reset()
+		refusal := request.Refuse(request.CauseBackendFailed, request.Unknown, 0)
+		WriteRefusal(ctx, refusal)
+		e.done(refusal.Cause.Status(), refusal)
+		return
+	}
+	ctx.Response.SetBodyRaw(data[:n])
+	finish()
+}
+
+// closingReader ends the exchange when fasthttp closes the body.
+type closingReader struct {
+	in     io.Reader
+	finish func()
+}
+
+// Read implements io.Reader.
+func (c *closingReader) Read(p []byte) (int, error) {
+	return c.in.Read(p)
+}
+
+// Close implements io.Closer.
+func (c *closingReader) Close() error {
+	if c.finish != nil {
+		c.finish()
+		c.finish = nil
+	}
+	return nil
+}
+
+// WriteRefusal writes a typed refusal.
+func WriteRefusal(ctx *fasthttp.RequestCtx, refusal *request.Refusal) {
+	header := &ctx.Response.Header
+	ctx.SetStatusCode(refusal.Cause.Status())
+	ctx.SetContentType("text/plain; charset=utf-8")
+	header.Set(HeaderOutcome, refusal.Outcome.String())
+	header.Set(HeaderCause, refusal.Cause.String())
+	if refusal.RetryAfter > 0 {
+		header.Set(fasthttp.HeaderRetryAfter, retryAfter(refusal.RetryAfter))
+	}
+	ctx.SetBodyString(refusal.Cause.String() + ", " + refusal.Outcome.String() + "\n")
+}
+
+// retryAfter rounds up to whole seconds, as the header demands.
+func retryAfter(d time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
--- /dev/null
+++ b/node/control.go
@@ -0,0 +1,99 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+)
+
+// Status is what a node tells operators of itself.
+type Status struct {
+	VM            string `json:"vm"`
+	Zone          string `json:"zone"`
+	Incarnation   string `json:"incarnation"`
+	BundleVersion uint64 `json:"bundleVersion"`
+	Service       string `json:"service"`
+	Draining      bool   `json:"draining"`
+	LiveCalls     int    `json:"liveCalls"`
+}
+
+// controlServer answers operators over HTTP.
+type controlServer struct {
+	node *Node
+	http *fasthttp.Server
+}
+
+func newControlServer(n *Node) *controlServer {
+	c := &controlServer{node: n}
+	c.http = &fasthttp.Server{
+		Handler:               c.handle,
+		Name:                  "auburngap",
+		NoDefaultServerHeader: true,
+		ReduceMemoryUsage:     true,
+		CloseOnShutdown:       true,
+		Logger:                zap.NewStdLog(n.logger.Named("control")),
+	}
+	return c
+}
+
+// Serve answers until Shutdown.
+func (c *controlServer) Serve(listener net.Listener) error {
+	return c.http.Serve(listener)
+}
+
+// Shutdown ends Serve.
+func (c *controlServer) Shutdown(ctx context.Context) error {
+	return c.http.ShutdownWithContext(ctx)
+}
+
+func (c *controlServer) handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/healthz":
+		ctx.SetBodyString("ok\n")
+	case "/readyz":
+		c.ready(ctx)
+	case "/status":
+		c.writeJSON(ctx, c.node.Status())
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+func (c *controlServer) ready(ctx *fasthttp.RequestCtx) {
+	if c.node.bundles.Index() == nil {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.SetBodyString("no bundle in force yet\n")
+		return
+	}
+	ctx.SetBodyString("ready\n")
+}
+
+func (c *controlServer) writeJSON(ctx *fasthttp.RequestCtx, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(data, '\n'))
+}
+
+// Status returns what the node tells operators of itself.
+func (n *Node) Status() Status {
+	announced, ok := n.announced.Current()
+	status := Status{
+		VM:          n.identity.VM,
+		Zone:        n.identity.Zone,
+		Incarnation: n.identity.Incarnation.String(),
+		Service:     announced.Service,
+		Draining:    !ok || announced.Draining,
+		LiveCalls:   n.tokens.Live(),
+	}
+	if index := n.bundles.Index(); index != nil {
+		status.BundleVersion = index.Bundle.Version
+	}
+	return status
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,189 @@
+// Package node wires the parts of the one process that runs beside each
+// backend server.
+//
+// # Usage
+//
+//	n, err := node.New(node.Config{Settings: settings, Platform: client, Logger: logger})
+//	err = n.Run(ctx) // until the context ends, then drains
+//
+// A request's path: caller, entry node, node of the chosen backend server,
+// backend server, its own node, next service. See docs/DESIGN.md.
+package node
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"auburngap/backend"
+	"auburngap/caller"
+	"auburngap/peer"
+	"auburngap/platform"
+	"auburngap/settings"
+)
+
+var (
+	errs = errorx.NewNamespace("node")
+	// ErrStart means that the node could not start.
+	ErrStart = errs.NewType("start")
+)
+
+// Config configures a Node.
+type Config struct {
+	Settings settings.Node
+	Platform platform.Client
+	Logger   *zap.Logger
+}
+
+// Node is the process beside one backend server.
+type Node struct {
+	config   Config
+	identity peer.Identity
+	logger   *zap.Logger
+
+	bundles    *bundleHolder
+	announced  *announcements
+	membership *membership
+	tokens     *backend.Tokens
+	pool       *peer.Pool
+
+	backendClient *backend.Client
+	callers       *caller.Server
+	backends      *backend.Server
+	peers         *peer.Server
+	control       *controlServer
+}
+
+// New returns a node that has not started yet.
+func New(config Config) (*Node, error) {
+	incarnation, err := uuid.NewV7()
+	if err != nil {
+		return nil, ErrStart.Wrap(err, "incarnation")
+	}
+	n := &Node{
+		config: config,
+		logger: config.Logger,
+		identity: peer.Identity{
+			VM:          config.Settings.VM,
+			Zone:        config.Settings.AvailabilityZone,
+			Incarnation: incarnation,
+		},
+	}
+	if err := n.wire(); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) wire() error {
+	s := n.config.Settings
+	peerTLS, err := tlsOf(s.PeerTLS)
+	if err != nil {
+		return ErrStart.Wrap(err, "peerTls")
+	}
+	n.bundles = newBundleHolder(n.config.Platform, n.logger)
+	n.announced = &announcements{}
+	n.tokens = backend.NewTokens()
+	n.pool = peer.NewPool(peer.PoolConfig{Self: n.identity, TLS: peerTLS, Logger: n.logger})
+	n.membership = newMembership(membershipConfig{
+		Self:      n.identity,
+		Address:   s.PeerAddress,
+		Platform:  n.config.Platform,
+		Announced: n.announced,
+		Logger:    n.logger,
+	})
+	n.backendClient = backend.NewClient(backend.ClientConfig{Tokens: n.tokens, Announced: n.announced.Current})
+	local := &localHandler{next: n.backendClient, announced: n.announced}
+	router := &router{self: n.identity.VM, local: local, pool: n.pool, membership: n.membership}
+	n.callers = caller.New(caller.Config{
+		Bundle:      n.bundles.Index,
+		Next:        router,
+		Logger:      n.logger,
+		IdleTimeout: time.Duration(s.IdleTimeout),
+	})
+	n.backends = backend.NewServer(backend.ServerConfig{
+		Tokens:     n.tokens,
+		Bundle:     n.bundles.Index,
+		Next:       router,
+		OnAnnounce: n.announced.Set,
+		Logger:     n.logger,
+	})
+	n.peers = peer.NewServer(peer.ServerConfig{Self: n.identity, TLS: peerTLS, Calls: local, Logger: n.logger})
+	n.control = newControlServer(n)
+	return nil
+}
+
+// Run serves until the context ends, then drains and returns.
+func (n *Node) Run(ctx context.Context) error {
+	s := n.config.Settings
+	listeners, err := listenAll(s.CallerAddress, s.PeerAddress, s.BackendAddress, s.ControlAddress)
+	if err != nil {
+		return err
+	}
+	callers, peers, backends, control := listeners[0], listeners[1], listeners[2], listeners[3]
+	callers, err = withCallerTLS(callers, s.CallerTLS)
+	if err != nil {
+		return err
+	}
+	n.logger.Info("node: started", zap.String("vm", s.VM), zap.String("availabilityZone", s.AvailabilityZone))
+
+	serving, stop := context.WithCancel(context.Background())
+	defer stop()
+	group, _ := errgroup.WithContext(serving)
+	group.Go(func() error { return n.callers.Serve(callers) })
+	group.Go(func() error { return n.backends.Serve(backends) })
+	group.Go(func() error { return n.control.Serve(control) })
+	group.Go(func() error { return n.peers.Serve(serving, peers) })
+	group.Go(func() error { return n.bundles.Run(serving) })
+	group.Go(func() error { return n.membership.Run(serving) })
+	group.Go(func() error {
+		<-ctx.Done()
+		n.drain()
+		stop()
+		return nil
+	})
+	return group.Wait()
+}
+
+// drain leaves the directory, then lets what runs end: callers first, then the
+// calls of other nodes, then those of the backend server.
+func (n *Node) drain() {
+	n.logger.Info("node: draining")
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(n.config.Settings.DrainTimeout))
+	defer cancel()
+	n.membership.Leave(ctx)
+	n.shutdown(ctx, "callers", n.callers.Shutdown)
+	n.peers.Drain()
+	n.shutdown(ctx, "backend server", n.backends.Shutdown)
+	n.shutdown(ctx, "control", n.control.Shutdown)
+	n.pool.Close()
+	n.backendClient.Close()
+	n.logger.Info("node: drained")
+}
+
+func (n *Node) shutdown(ctx context.Context, what string, shutdown func(context.Context) error) {
+	if err := shutdown(ctx); err != nil {
+		n.logger.Warn("node: shutdown incomplete", zap.String("of", what), zap.Error(err))
+	}
+}
+
+func listenAll(addresses ...netip.AddrPort) ([]net.Listener, error) {
+	listeners := make([]net.Listener, 0, len(addresses))
+	for _, address := range addresses {
+		listener, err := net.Listen("tcp", address.String())
+		if err != nil {
+			for _, open := range listeners {
+				_ = open.Close()
+			}
+			return nil, ErrStart.Wrap(err, "listen")
+		}
+		listeners = append(listeners, listener)
+	}
+	return listeners, nil
+}
--- /dev/null
+++ b/peer/call_client.go
@@ -0,0 +1,181 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"auburngap/peer/peerpb"
+	"auburngap/request"
+)
+
+// Call sends a call to the node at address and returns its answer, or a
+// *request.Refusal. The context must stay live until the answer's body is
+// closed; its end cancels the call at the other node too.
+func (p *Pool) Call(ctx context.Context, address netip.AddrPort, call *request.Call) (*request.Answer, error) {
+	stream, err := p.OpenStream(ctx, address)
+	if err != nil {
+		return nil, request.Refuse(request.CauseNoBackend, request.NotRun, 0)
+	}
+	exchange := &exchange{stream: stream, frames: NewFrameReader(stream)}
+	exchange.stop = context.AfterFunc(ctx, exchange.cancel)
+	answer, err := exchange.run(call)
+	if err != nil {
+		exchange.close()
+		return nil, p.refusal(ctx, exchange, err)
+	}
+	return answer, nil
+}
+
+// refusal turns a broken exchange into what is known of the call's outcome.
+func (p *Pool) refusal(ctx context.Context, e *exchange, err error) *request.Refusal {
+	if refusal, ok := err.(*request.Refusal); ok {
+		return refusal
+	}
+	outcome := request.Unknown
+	if !e.sent {
+		outcome = request.NotRun
+	}
+	switch ctx.Err() {
+	case context.DeadlineExceeded:
+		return request.Refuse(request.CauseDeadline, outcome, 0)
+	case context.Canceled:
+		return request.Refuse(request.CauseCancelled, outcome, 0)
+	}
+	return request.Refuse(request.CauseBackendFailed, outcome, 0)
+}
+
+// exchange is one call on its stream.
+type exchange struct {
+	stream net.Conn
+	frames *FrameReader
+	stop   func() bool
+	// sent is set once a byte of the call may have reached the peer.
+	sent   bool
+	body   bodyReader
+	closed atomic.Bool
+}
+
+func (e *exchange) run(call *request.Call) (*request.Answer, error) {
+	if err := e.send(call); err != nil {
+		return nil, err
+	}
+	return e.receive()
+}
+
+func (e *exchange) send(call *request.Call) error {
+	w := NewFrameWriter(e.stream)
+	defer w.Release()
+	if err := w.Add(KindCall, callToMessage(call)); err != nil {
+		return err
+	}
+	e.sent = true
+	readErr, writeErr := copyBody(w, call.Body)
+	if writeErr != nil {
+		return e.refusalBehind(writeErr)
+	}
+	end := &peerpb.End{Aborted: readErr != nil}
+	if call.Trailers != nil && readErr == nil {
+		end.Trailers = headersToMessage(call.Trailers())
+	}
+	if err := w.Add(KindEnd, end); err != nil {
+		return err
+	}
+	if err := w.Flush(); err != nil {
+		return e.refusalBehind(err)
+	}
+	return readErr
+}
+
+// refusalBehind looks for the refusal of a peer that closed the stream before
+// it had read the whole body.
+func (e *exchange) refusalBehind(err error) error {
+	if _, receiveErr := e.receive(); receiveErr != nil {
+		if refusal, ok := receiveErr.(*request.Refusal); ok {
+			return refusal
+		}
+	}
+	return err
+}
+
+func (e *exchange) receive() (*request.Answer, error) {
+	kind, payload, err := e.frames.Next()
+	if err != nil {
+		return nil, ErrBroken.Wrap(err, "answer")
+	}
+	switch kind {
+	case KindRefusal:
+		var message peerpb.Refusal
+		if err := Decode(payload, &message); err != nil {
+			return nil, err
+		}
+		return nil, refusalFromMessage(&message)
+	case KindAnswer:
+		return e.answer(payload)
+	default:
+		return nil, ErrFrame.New("%s", unexpected(kind, KindAnswer))
+	}
+}
+
+func (e *exchange) answer(payload []byte) (*request.Answer, error) {
+	var message peerpb.Answer
+	if err := Decode(payload, &message); err != nil {
+		return nil, err
+	}
+	e.body.frames = e.frames
+	return &request.Answer{
+		Status:   int(message.GetStatus()),
+		Headers:  headersFromMessage(message.GetHeaders()),
+		Body:     e,
+		BodySize: message.GetBodySize(),
+		Trailers: e.body.trailers,
+		Report:   e.body.report,
+	}, nil
+}
+
+// Read implements io.Reader for the answer's body.
+func (e *exchange) Read(p []byte) (int, error) {
+	return e.body.Read(p)
+}
+
+// Close implements io.Closer; it cancels the call where the answer has not ended.
+func (e *exchange) Close() error {
+	e.close()
+	return nil
+}
+
+func (e *exchange) close() {
+	if !e.closed.CompareAndSwap(false, true) {
+		return
+	}
+	// Where the cancellation has started, the reader may still be in use.
+	if e.stop() {
+		defer e.frames.Release()
+	}
+	_ = e.stream.Close()
+}
+
+func (e *exchange) cancel() {
+	// The deadline wakes a reader, and the close tells the peer.
+	_ = e.stream.SetDeadline(time.Unix(1, 0))
+	_ = e.stream.Close()
+}
+
+func callToMessage(call *request.Call) *peerpb.Call {
+	return &peerpb.Call{
+		Context:        contextToMessage(&call.Context, time.Now()),
+		Service:        call.Service,
+		Method:         call.Method,
+		Uri:            call.URI,
+		Headers:        headersToMessage(call.Headers),
+		BodySize:       call.BodySize,
+		Commitment:     call.Commitment,
+		Idempotent:     call.Idempotent,
+		IdempotencyKey: call.IdempotencyKey,
+	}
+}
+
+var _ io.ReadCloser = (*exchange)(nil)
--- /dev/null
+++ b/peer/convert.go
@@ -0,0 +1,123 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/google/uuid"
+
+	"auburngap/peer/peerpb"
+	"auburngap/request"
+)
+
+func contextToMessage(c *request.Context, now time.Time) *peerpb.Context {
+	return &peerpb.Context{
+		Id:            c.ID[:],
+		Workspace:     c.Workspace,
+		Route:         c.Route,
+		Priority:      uint32(c.Priority),
+		TimeoutMicros: c.Deadline.Sub(now).Microseconds(),
+		RetryBudget:   uint32(max(c.RetryBudget, 0)),
+		Depth:         uint32(c.Depth),
+		BundleVersion: c.BundleVersion,
+	}
+}
+
+func contextFromMessage(m *peerpb.Context, now time.Time) (request.Context, error) {
+	id, err := uuid.FromBytes(m.GetId())
+	if err != nil {
+		return request.Context{}, ErrFrame.Wrap(err, "request ID")
+	}
+	if m.GetPriority() >= uint32(request.Priorities) {
+		return request.Context{}, ErrFrame.New("priority %d", m.GetPriority())
+	}
+	return request.Context{
+		ID:            id,
+		Workspace:     m.GetWorkspace(),
+		Route:         m.GetRoute(),
+		Priority:      request.Priority(m.GetPriority()),
+		Deadline:      now.Add(time.Duration(m.GetTimeoutMicros()) * time.Microsecond),
+		RetryBudget:   int(m.GetRetryBudget()),
+		Depth:         int(m.GetDepth()),
+		BundleVersion: m.GetBundleVersion(),
+	}, nil
+}
+
+func headersToMessage(headers []request.Header) []*peerpb.Header {
+	if len(headers) == 0 {
+		return nil
+	}
+	backing := make([]peerpb.Header, len(headers))
+	messages := make([]*peerpb.Header, len(headers))
+	for i, h := range headers {
+		backing[i].Name = h.Name
+		backing[i].Value = h.Value
+		messages[i] = &backing[i]
+	}
+	return messages
+}
+
+func headersFromMessage(messages []*peerpb.Header) []request.Header {
+	if len(messages) == 0 {
+		return nil
+	}
+	headers := make([]request.Header, len(messages))
+	for i, m := range messages {
+		headers[i] = request.Header{Name: m.GetName(), Value: m.GetValue()}
+	}
+	return headers
+}
+
+func loadsToMessage(loads []request.ServiceLoad) *peerpb.Signal {
+	if len(loads) == 0 {
+		return nil
+	}
+	signal := &peerpb.Signal{Services: make([]*peerpb.ServiceLoad, len(loads))}
+	for i, l := range loads {
+		signal.Services[i] = &peerpb.ServiceLoad{
+			Service:    l.Service,
+			AdmitLevel: uint32(l.AdmitLevel),
+			InFlight:   uint32(max(l.InFlight, 0)),
+			Limit:      uint32(max(l.Limit, 0)),
+			Draining:   l.Draining,
+		}
+	}
+	return signal
+}
+
+func loadsFromMessage(signal *peerpb.Signal) []request.ServiceLoad {
+	services := signal.GetServices()
+	if len(services) == 0 {
+		return nil
+	}
+	loads := make([]request.ServiceLoad, len(services))
+	for i, s := range services {
+		loads[i] = request.ServiceLoad{
+			Service:    s.GetService(),
+			AdmitLevel: uint16(min(s.GetAdmitLevel(), 1<<16-1)),
+			InFlight:   int(s.GetInFlight()),
+			Limit:      int(s.GetLimit()),
+			Draining:   s.GetDraining(),
+		}
+	}
+	return loads
+}
+
+func refusalToMessage(r *request.Refusal) *peerpb.Refusal {
+	return &peerpb.Refusal{
+		Cause:            uint32(r.Cause),
+		Outcome:          uint32(r.Outcome),
+		RetryAfterMicros: r.RetryAfter.Microseconds(),
+		Signal:           loadsToMessage(r.Report.Loads),
+		UnspentRetries:   uint32(max(r.Report.UnspentRetries, 0)),
+	}
+}
+
+func refusalFromMessage(m *peerpb.Refusal) *request.Refusal {
+	refusal := request.Refuse(request.Cause(m.GetCause()), request.Outcome(m.GetOutcome()),
+		time.Duration(m.GetRetryAfterMicros())*time.Microsecond)
+	refusal.Report = request.Report{
+		UnspentRetries: int(m.GetUnspentRetries()),
+		Loads:          loadsFromMessage(m.GetSignal()),
+	}
+	return refusal
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,175 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"sync"
+
+	"github.com/hashicorp/yamux"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"auburngap/request"
+)
+
+// ControlHandler answers one control message; it returns the reply, or an
+// error that closes the stream without one.
+type ControlHandler func(ctx context.Context, from Identity, payload []byte) (proto.Message, error)
+
+// StreamHandler takes over a control stream after its first frame, until it
+// returns.
+type StreamHandler func(ctx context.Context, from Identity, first []byte, stream net.Conn) error
+
+// ServerConfig configures a Server.
+type ServerConfig struct {
+	Self Identity
+	// TLS is nil where sessions are plain.
+	TLS *tls.Config
+	// Calls takes the calls of other nodes.
+	Calls  request.Handler
+	Logger *zap.Logger
+}
+
+// Server accepts sessions of other nodes.
+type Server struct {
+	config   ServerConfig
+	handlers map[Kind]StreamHandler
+	sessions sync.WaitGroup
+	calls    sync.WaitGroup
+}
+
+// NewServer returns a server without control handlers.
+func NewServer(config ServerConfig) *Server {
+	return &Server{config: config, handlers: make(map[Kind]StreamHandler)}
+}
+
+// HandleStream registers who takes over streams that begin with a kind. It
+// must be called before Serve.
+func (s *Server) HandleStream(kind Kind, handler StreamHandler) {
+	s.handlers[kind] = handler
+}
+
+// Handle registers who answers messages of a kind. It must be called before Serve.
+func (s *Server) Handle(kind Kind, handler ControlHandler) {
+	s.HandleStream(kind, func(ctx context.Context, from Identity, first []byte, stream net.Conn) error {
+		reply, err := handler(ctx, from, first)
+		if err != nil {
+			return err
+		}
+		return writeReply(stream, reply)
+	})
+}
+
+func writeReply(stream io.Writer, reply proto.Message) error {
+	w := NewFrameWriter(stream)
+	defer w.Release()
+	if err := w.Add(KindReply, reply); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+// Serve accepts sessions until the context ends, then closes them all.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { s.closeListener(listener) })
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			s.sessions.Wait()
+			if ctx.Err() != nil {
+				return nil
+			}
+			return ErrUnreachable.Wrap(err, "accept")
+		}
+		s.sessions.Go(func() { s.serveConn(ctx, conn) })
+	}
+}
+
+// Drain waits until the calls that were accepted have ended.
+func (s *Server) Drain() {
+	s.calls.Wait()
+}
+
+func (s *Server) closeListener(listener net.Listener) {
+	if err := listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		s.config.Logger.Warn("peer: listener did not close", zap.Error(err))
+	}
+}
+
+func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+	if s.config.TLS != nil {
+		conn = tls.Server(conn, s.config.TLS)
+	}
+	session, err := open(conn, s.config.Self, yamux.Server)
+	if err != nil {
+		s.config.Logger.Warn("peer: session refused", zap.Stringer("address", conn.RemoteAddr()), zap.Error(err))
+		s.closeQuietly(conn)
+		return
+	}
+	stop := context.AfterFunc(ctx, func() { s.closeQuietly(session) })
+	defer stop()
+	defer s.closeQuietly(session)
+	s.acceptStreams(ctx, session)
+}
+
+func (s *Server) acceptStreams(ctx context.Context, session *Session) {
+	for {
+		stream, err := session.mux.AcceptStream()
+		if err != nil {
+			return
+		}
+		go s.serveStream(ctx, session.Peer, stream)
+	}
+}
+
+func (s *Server) serveStream(ctx context.Context, from Identity, stream net.Conn) {
+	defer s.closeQuietly(stream)
+	reader := NewFrameReader(stream)
+	defer reader.Release()
+	kind, first, err := reader.Next()
+	if err != nil {
+		s.logStream(from, err)
+		return
+	}
+	if kind == KindCall {
+		s.calls.Add(1)
+		defer s.calls.Done()
+		s.logStream(from, s.serveCall(ctx, reader, first, stream))
+		return
+	}
+	handler, ok := s.handlers[kind]
+	if !ok {
+		s.logStream(from, ErrFrame.New("nobody handles kind %d", kind))
+		return
+	}
+	s.logStream(from, handler(ctx, from, first, &bufferedStream{Conn: stream, in: reader.in}))
+}
+
+// bufferedStream reads what the first frame's reader holds already.
+type bufferedStream struct {
+	net.Conn
+	in io.Reader
+}
+
+// Read implements io.Reader.
+func (b *bufferedStream) Read(p []byte) (int, error) {
+	return b.in.Read(p)
+}
+
+func (s *Server) logStream(from Identity, err error) {
+	if err == nil || errors.Is(err, io.EOF) {
+		return
+	}
+	s.config.Logger.Warn("peer: stream closed", zap.String("vm", from.VM), zap.Error(err))
+}
+
+// closeQuietly closes what may have been closed by the other side already.
+func (s *Server) closeQuietly(closer io.Closer) {
+	if err := closer.Close(); err != nil {
+		s.config.Logger.Debug("peer: close", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/peer/session.go
@@ -0,0 +1,160 @@
+// Package peer speaks between nodes: yamux sessions over TCP, with mutual TLS,
+// that carry one stream for each call and control message.
+//
+// # Usage
+//
+//	server := peer.NewServer(peer.ServerConfig{Self: self, TLS: tls, Calls: handler, Logger: logger})
+//	server.Handle(peer.KindDraw, onDraw)
+//	go server.Serve(ctx, listener)
+//
+//	pool := peer.NewPool(peer.PoolConfig{Self: self, TLS: tls, Logger: logger})
+//	answer, err := pool.Call(ctx, address, call)
+//	err = peer.Ask(ctx, pool, address, peer.KindDraw, request, reply)
+//
+// A session opens with a Hello in both directions. Every later stream begins
+// with the frame that says what it is for. A malformed or oversized frame ends
+// its own stream; a refused hello ends its session; nothing else suffers.
+package peer
+
+import (
+	"context"
+	"io"
+	"net"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/yamux"
+
+	"auburngap/peer/peerpb"
+)
+
+const (
+	// ProtocolVersion is the highest version that this program speaks.
+	ProtocolVersion = 1
+	// helloTimeout bounds the opening of a session.
+	helloTimeout = 3 * time.Second
+	// keepAliveInterval is the time between a session's heartbeats.
+	keepAliveInterval = 5 * time.Second
+	// writeTimeout ends a session whose peer does not read.
+	writeTimeout = 5 * time.Second
+	// streamBacklog is the number of streams that may wait for acceptance.
+	streamBacklog = 4096
+	// streamCloseTimeout frees a stream whose peer does not close its side.
+	streamCloseTimeout = 10 * time.Second
+	// maxNameBytes bounds the names in a hello.
+	maxNameBytes = 256
+)
+
+// Identity is who a node is.
+type Identity struct {
+	VM   string
+	Zone string
+	// Incarnation is new at each start of the process.
+	Incarnation uuid.UUID
+}
+
+func (id Identity) hello() *peerpb.Hello {
+	return &peerpb.Hello{
+		Version:          ProtocolVersion,
+		Vm:               id.VM,
+		AvailabilityZone: id.Zone,
+		Incarnation:      id.Incarnation[:],
+	}
+}
+
+// Session is an open connection to another node.
+type Session struct {
+	mux *yamux.Session
+	// Peer is what the other side said in its hello.
+	Peer Identity
+}
+
+func muxConfig() *yamux.Config {
+	config := yamux.DefaultConfig()
+	config.AcceptBacklog = streamBacklog
+	config.KeepAliveInterval = keepAliveInterval
+	config.ConnectionWriteTimeout = writeTimeout
+	config.StreamOpenTimeout = writeTimeout
+	config.StreamCloseTimeout = streamCloseTimeout
+	config.LogOutput = io.Discard
+	return config
+}
+
+// open sends and reads the hello of one side and starts the multiplexing.
+func open(conn net.Conn, self Identity, start func(io.ReadWriteCloser, *yamux.Config) (*yamux.Session, error)) (*Session, error) {
+	if err := conn.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
+		return nil, ErrHello.Wrap(err, "set deadline")
+	}
+	if err := sendHello(conn, self); err != nil {
+		return nil, err
+	}
+	identity, err := readHello(conn)
+	if err != nil {
+		return nil, err
+	}
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		return nil, ErrHello.Wrap(err, "clear deadline")
+	}
+	mux, err := start(conn, muxConfig())
+	if err != nil {
+		return nil, ErrHello.Wrap(err, "start session")
+	}
+	return &Session{mux: mux, Peer: identity}, nil
+}
+
+func sendHello(conn net.Conn, self Identity) error {
+	w := NewFrameWriter(conn)
+	defer w.Release()
+	if err := w.Add(KindHello, self.hello()); err != nil {
+		return err
+	}
+	if err := w.Flush(); err != nil {
+		return ErrHello.Wrap(err, "send hello")
+	}
+	return nil
+}
+
+// readHello reads without a buffer, as the bytes behind the hello belong to
+// the multiplexer.
+func readHello(conn net.Conn) (Identity, error) {
+	reader := FrameReader{in: conn}
+	var hello peerpb.Hello
+	if err := reader.Expect(KindHello, &hello); err != nil {
+		return Identity{}, ErrHello.Wrap(err, "read hello")
+	}
+	return checkHello(&hello)
+}
+
+func checkHello(hello *peerpb.Hello) (Identity, error) {
+	if hello.GetVersion() < 1 {
+		return Identity{}, ErrHello.New("protocol version %d", hello.GetVersion())
+	}
+	if hello.GetVm() == "" || len(hello.GetVm()) > maxNameBytes || len(hello.GetAvailabilityZone()) > maxNameBytes {
+		return Identity{}, ErrHello.New("bad VM or availability zone name")
+	}
+	incarnation, err := uuid.FromBytes(hello.GetIncarnation())
+	if err != nil {
+		return Identity{}, ErrHello.Wrap(err, "incarnation")
+	}
+	return Identity{VM: hello.GetVm(), Zone: hello.GetAvailabilityZone(), Incarnation: incarnation}, nil
+}
+
+// OpenStream opens a stream; nothing reaches the peer's handlers before its
+// first frame does.
+func (s *Session) OpenStream(_ context.Context) (net.Conn, error) {
+	stream, err := s.mux.OpenStream()
+	if err != nil {
+		return nil, ErrUnreachable.Wrap(err, "open stream to %s", s.Peer.VM)
+	}
+	return stream, nil
+}
+
+// Close ends the session and all of its streams.
+func (s *Session) Close() error {
+	return s.mux.Close()
+}
+
+// IsClosed tells whether the session has ended.
+func (s *Session) IsClosed() bool {
+	return s.mux.IsClosed()
+}
--- /dev/null
+++ b/request/call.go
@@ -0,0 +1,86 @@
+package request
+
+import (
+	"context"
+	"io"
+)
+
+// Header is one HTTP header or trailer line.
+type Header struct {
+	Name  []byte
+	Value []byte
+}
+
+// Call is one call to a service, made for a customer request.
+type Call struct {
+	Context Context
+	Service string
+	Method  string
+	// URI is the path with its query.
+	URI     []byte
+	Headers []Header
+	// Body is nil where there is none.
+	Body io.Reader
+	// BodySize is in bytes, or -1 where it is not known beforehand.
+	BodySize int64
+	// Trailers returns the trailers once Body has ended; it may be nil.
+	Trailers func() []Header
+	// Replay returns Body from its start again; nil where the body can be read only once.
+	Replay func() io.Reader
+	// Commitment calls run at most once.
+	Commitment bool
+	// Idempotent calls may be sent again after an unknown outcome.
+	Idempotent bool
+	// IdempotencyKey is set on commitments.
+	IdempotencyKey []byte
+}
+
+// Answer is a backend server's answer to a Call. Its receiver closes Body.
+type Answer struct {
+	Status  int
+	Headers []Header
+	Body    io.ReadCloser
+	// BodySize is in bytes, or -1 where it is not known beforehand.
+	BodySize int64
+	// Trailers returns the trailers once Body has ended; it may be nil.
+	Trailers func() []Header
+	// Report returns what came back with the answer once Body has ended; it may be nil.
+	Report func() Report
+}
+
+// Report is what the answering side sends back beside the answer.
+type Report struct {
+	// UnspentRetries is the part of the call's retry budget that was not used.
+	UnspentRetries int
+	// Loads tells of overload at the services that the call reached.
+	Loads []ServiceLoad
+}
+
+// ServiceLoad is what a node knows of the overload of one service.
+type ServiceLoad struct {
+	Service string
+	// AdmitLevel is the admission level in 1/256 of a priority.
+	AdmitLevel uint16
+	// InFlight and Limit are those of the answering node's backend server.
+	InFlight int
+	Limit    int
+	// Draining tells that the answering backend server takes no new work.
+	Draining bool
+}
+
+// Handler takes calls: the router towards other nodes, or the client towards
+// the backend server of this VM.
+type Handler interface {
+	// Serve returns the answer, or a *Refusal as error. Cancelling the context
+	// cancels the call down the whole chain; it must stay live until the
+	// answer's body is closed.
+	Serve(ctx context.Context, call *Call) (*Answer, error)
+}
+
+// HandlerFunc is a function as a Handler.
+type HandlerFunc func(ctx context.Context, call *Call) (*Answer, error)
+
+// Serve implements Handler.
+func (f HandlerFunc) Serve(ctx context.Context, call *Call) (*Answer, error) {
+	return f(ctx, call)
+}
--- a/request/outcome.go
+++ b/request/outcome.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -114,6 +115,8 @@
 	Outcome Outcome
 	// RetryAfter is zero where a repeat cannot help.
 	RetryAfter time.Duration
+	// Report is what came back beside the refusal.
+	Report Report
 }
 
 // Refuse returns a refusal as an error.
@@ -125,3 +128,13 @@
 func (r *Refusal) Error() string {
 	return fmt.Sprintf("request refused: %s, %s", r.Cause, r.Outcome)
 }
+
+// AsRefusal returns the refusal behind an error; an error of any other kind
+// becomes a failed backend server whose outcome is unknown.
+func AsRefusal(err error) *Refusal {
+	var refusal *Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return Refuse(CauseBackendFailed, Unknown, 0)
+}
--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,70 @@
+package settings
+
+import (
+	"cmp"
+	"crypto/ed25519"
+	"encoding/base64"
+	"net/netip"
+	"slices"
+
+	"go.uber.org/zap/zapcore"
+)
+
+// checker gathers the faults of one file.
+type checker struct {
+	path   string
+	fields map[string]field
+	faults []Fault
+}
+
+func (c *checker) demand(ok bool, name, allowed string) {
+	if !ok {
+		c.faults = append(c.faults, Fault{c.path, c.fields[name].line, name, allowed})
+	}
+}
+
+// check returns every value that is out of bounds.
+func (n *Node) check(path string, fields map[string]field) []Fault {
+	c := &checker{path: path, fields: fields}
+	c.demand(n.VM != "", "vm", "a name is needed")
+	c.demand(n.AvailabilityZone != "", "availabilityZone", "a name is needed")
+	c.address(n.CallerAddress, "callerAddress")
+	c.address(n.PeerAddress, "peerAddress")
+	c.address(n.BackendAddress, "backendAddress")
+	c.address(n.ControlAddress, "controlAddress")
+	c.address(n.PlatformAddress, "platformAddress")
+	c.demand(n.BackendAddress.Addr().IsLoopback(), "backendAddress", "an address on loopback")
+	c.demand(n.PlatformTimeout > 0, "platformTimeout", "longer than 0s")
+	c.demand(n.DrainTimeout > 0, "drainTimeout", "longer than 0s")
+	c.demand(n.IdleTimeout > 0, "idleTimeout", "longer than 0s")
+	c.demand(len(n.OperatorKeys) > 0, "operatorKeys", "at least one Ed25519 public key, base64")
+	for _, key := range n.OperatorKeys {
+		c.demand(isPublicKey(key), "operatorKeys", "Ed25519 public keys, base64")
+	}
+	c.demand(n.OperatorSignOffs >= 1 && n.OperatorSignOffs <= max(len(n.OperatorKeys), 1), "operatorSignOffs", "from 1 to the number of operatorKeys")
+	c.tls(n.PeerTLS, "peerTls")
+	c.tls(n.CallerTLS, "callerTls")
+	_, err := zapcore.ParseLevel(n.LogLevel)
+	c.demand(err == nil, "logLevel", "debug, info, warn or error")
+	sortFaults(c.faults)
+	return c.faults
+}
+
+func (c *checker) address(address netip.AddrPort, name string) {
+	c.demand(address.IsValid() && address.Port() != 0, name, "an address with port is needed, such as 10.0.0.1:8080")
+}
+
+func (c *checker) tls(keys TLS, name string) {
+	c.demand(keys.Plain || (keys.Certificate != "" && keys.Key != ""), name, "certificate and key as PEM text, or plain: true on one's own machine")
+}
+
+func isPublicKey(text string) bool {
+	key, err := base64.StdEncoding.DecodeString(text)
+	return err == nil && len(key) == ed25519.PublicKeySize
+}
+
+func sortFaults(faults []Fault) {
+	slices.SortStableFunc(faults, func(a, b Fault) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Field, b.Field))
+	})
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,75 @@
+// Package settings holds the settings of one node: JSON with comments, read
+// strictly into one struct with defaults.
+//
+// # Usage
+//
+//	node, err := settings.Read("node.json")
+//	if err != nil {
+//		// every fault, with file, line, field and what is allowed
+//	}
+package settings
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Node is the settings of one node. The comment of each field is its page in
+// docs/SETTINGS.md.
+type Node struct {
+	// VM is the name of the VM that the node runs on.
+	VM string `json:"vm"`
+	// AvailabilityZone is the VM's availability zone, as the bundle names it.
+	AvailabilityZone string `json:"availabilityZone"`
+	// CallerAddress is where callers reach the node over HTTP.
+	CallerAddress netip.AddrPort `json:"callerAddress"`
+	// PeerAddress is where other nodes reach the node.
+	PeerAddress netip.AddrPort `json:"peerAddress"`
+	// BackendAddress is where the backend server of the VM reaches the node; on loopback.
+	BackendAddress netip.AddrPort `json:"backendAddress"`
+	// ControlAddress is where operators reach health, metrics, status and reports.
+	ControlAddress netip.AddrPort `json:"controlAddress"`
+	// PlatformAddress is where the platform's key-value service answers.
+	PlatformAddress netip.AddrPort `json:"platformAddress"`
+	// PlatformTimeout bounds one call of the platform's service.
+	PlatformTimeout Duration `json:"platformTimeout"`
+	// Seeds are peer addresses of nodes to ask for the directory when the platform is down.
+	Seeds []netip.AddrPort `json:"seeds"`
+	// OperatorKeys are the Ed25519 public keys (base64) that may sign the first bundle.
+	OperatorKeys []string `json:"operatorKeys"`
+	// OperatorSignOffs is how many of the operator keys must sign the first bundle.
+	OperatorSignOffs int `json:"operatorSignOffs"`
+	// PeerTLS are the node's keys towards other nodes.
+	PeerTLS TLS `json:"peerTls"`
+	// CallerTLS are the node's keys towards callers.
+	CallerTLS TLS `json:"callerTls"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `json:"logLevel"`
+	// DrainTimeout bounds how long a node that stops waits for its calls.
+	DrainTimeout Duration `json:"drainTimeout"`
+	// IdleTimeout closes callers' idle connections.
+	IdleTimeout Duration `json:"idleTimeout"`
+}
+
+// TLS are the keys of one side, as PEM text, since VMs keep no files.
+type TLS struct {
+	// Plain turns TLS off, for one's own machine.
+	Plain bool `json:"plain"`
+	// Certificate is the certificate chain.
+	Certificate string `json:"certificate"`
+	// Key is the certificate's private key.
+	Key string `json:"key"`
+	// Authorities sign the certificates of all nodes.
+	Authorities string `json:"authorities"`
+}
+
+// Default returns the settings where a file states nothing else.
+func Default() Node {
+	return Node{
+		PlatformTimeout:  Duration(2 * time.Second),
+		OperatorSignOffs: 1,
+		LogLevel:         "info",
+		DrainTimeout:     Duration(30 * time.Second),
+		IdleTimeout:      Duration(2 * time.Minute),
+	}
+}
--- /dev/null
+++ b/site/process.go
@@ -0,0 +1,76 @@
+package site
+
+import (
+	"os"
+	"os/exec"
+	"syscall"
+	"time"
+)
+
+const (
+	startTimeout = 10 * time.Second
+	stopTimeout  = 40 * time.Second
+	pollInterval = 10 * time.Millisecond
+)
+
+// Process is a process that the site has started.
+type Process struct {
+	command *exec.Cmd
+	done    chan struct{}
+	err     error
+}
+
+// startProcess starts a program whose output is appended to a log file.
+func startProcess(logPath, binary string, arguments ...string) (*Process, error) {
+	log, err := os.OpenFile(logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, ErrStart.Wrap(err, "open log")
+	}
+	command := exec.Command(binary, arguments...)
+	command.Stdout = log
+	command.Stderr = log
+	// The processes end with the program that started them.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
+		return nil, ErrStart.Wrap(err, "start %s", binary)
+	}
+	p := &Process{command: command, done: make(chan struct{})}
+	go func() {
+		p.err = command.Wait()
+		_ = log.Close()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// Kill ends the process at once and waits for it.
+func (p *Process) Kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// Terminate asks the process to drain and end.
+func (p *Process) Terminate() { p.signal(syscall.SIGTERM) }
+
+// Pause stops the process where it is, until Continue.
+func (p *Process) Pause() { p.signal(syscall.SIGSTOP) }
+
+// Continue wakes a paused process.
+func (p *Process) Continue() { p.signal(syscall.SIGCONT) }
+
+// Wait waits for the process's end and kills it after the timeout; it returns
+// whether the process ended by itself and without an error.
+func (p *Process) Wait(timeout time.Duration) bool {
+	select {
+	case <-p.done:
+		return p.err == nil
+	case <-time.After(timeout):
+		p.Kill()
+		return false
+	}
+}
+
+// signal reaches only this process; one that has ended already takes none.
+func (p *Process) signal(s os.Signal) {
+	_ = p.command.Process.Signal(s)
+}
--- /dev/null
+++ b/site/site.go
@@ -0,0 +1,203 @@
+// Package site starts a whole site on one machine for the demo and the tests:
+// the platform's stand-in and one process for each node, on loopback.
+//
+// # Usage
+//
+//	s, err := site.Start(ctx, site.Config{Binary: "bin/auburngap", Directory: dir, VMs: vms})
+//	defer s.Close()
+//	err = s.Node("wdh-1").Kill()
+//	err = s.StartNode(ctx, "wdh-1")
+//
+// Nodes are sent signals by their process IDs; nothing else is touched.
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"auburngap/settings"
+)
+
+var (
+	errs = errorx.NewNamespace("site")
+	// ErrStart means that a process did not come up.
+	ErrStart = errs.NewType("start")
+)
+
+// VM is one VM of the site.
+type VM struct {
+	Name string
+	Zone string
+}
+
+// Config configures a Site.
+type Config struct {
+	// Binary is the path of the auburngap program.
+	Binary string
+	// Directory takes settings and logs.
+	Directory string
+	VMs       []VM
+	// OperatorKeys are the public keys that the nodes trust for the first bundle.
+	OperatorKeys []string
+	// Platform is the address of a service that runs already; where it is not
+	// valid the site starts a stand-in.
+	Platform netip.AddrPort
+	// Adjust may change the settings of a node before it starts; it may be nil.
+	Adjust func(*settings.Node)
+}
+
+// Site is a running site.
+type Site struct {
+	config   Config
+	Platform netip.AddrPort
+	platform *Process
+	nodes    map[string]*Node
+}
+
+// Node is one node of the site.
+type Node struct {
+	*Process
+	Settings settings.Node
+}
+
+// Start brings up the platform's stand-in and all nodes, and waits until they
+// answer on their control address.
+func Start(ctx context.Context, config Config) (*Site, error) {
+	s := &Site{config: config, Platform: config.Platform, nodes: make(map[string]*Node)}
+	if !config.Platform.IsValid() {
+		if err := s.startPlatform(); err != nil {
+			return nil, err
+		}
+	}
+	for _, vm := range config.VMs {
+		if err := s.prepare(vm); err != nil {
+			s.Close()
+			return nil, err
+		}
+	}
+	for _, vm := range config.VMs {
+		if err := s.StartNode(ctx, vm.Name); err != nil {
+			s.Close()
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func (s *Site) startPlatform() error {
+	address, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	process, err := startProcess(s.logPath("platform"), s.config.Binary, "platform-fake", "--listen", address.String())
+	if err != nil {
+		return err
+	}
+	s.Platform = address
+	s.platform = process
+	return nil
+}
+
+// prepare chooses the addresses of a node and writes its settings.
+func (s *Site) prepare(vm VM) error {
+	node := settings.Default()
+	node.VM = vm.Name
+	node.AvailabilityZone = vm.Zone
+	node.PlatformAddress = s.Platform
+	node.PeerTLS.Plain = true
+	node.CallerTLS.Plain = true
+	node.OperatorKeys = s.config.OperatorKeys
+	for _, address := range []*netip.AddrPort{&node.CallerAddress, &node.PeerAddress, &node.BackendAddress, &node.ControlAddress} {
+		free, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		*address = free
+	}
+	if s.config.Adjust != nil {
+		s.config.Adjust(&node)
+	}
+	data, err := json.MarshalIndent(node, "", "  ")
+	if err != nil {
+		return ErrStart.Wrap(err, "encode settings")
+	}
+	if err := os.WriteFile(s.settingsPath(vm.Name), data, 0o600); err != nil {
+		return ErrStart.Wrap(err, "write settings")
+	}
+	s.nodes[vm.Name] = &Node{Settings: node}
+	return nil
+}
+
+// StartNode starts a node (again) in its slot and waits until it answers.
+func (s *Site) StartNode(ctx context.Context, vm string) error {
+	node := s.nodes[vm]
+	process, err := startProcess(s.logPath(vm), s.config.Binary, "node", "--settings", s.settingsPath(vm))
+	if err != nil {
+		return err
+	}
+	node.Process = process
+	return waitForTCP(ctx, node.Settings.ControlAddress)
+}
+
+// Node returns a node by its VM's name.
+func (s *Site) Node(vm string) *Node {
+	return s.nodes[vm]
+}
+
+// Close stops all processes and waits for them.
+func (s *Site) Close() {
+	for _, node := range s.nodes {
+		if node.Process != nil {
+			node.Terminate()
+		}
+	}
+	for _, node := range s.nodes {
+		if node.Process != nil {
+			node.Wait(stopTimeout)
+		}
+	}
+	if s.platform != nil {
+		s.platform.Terminate()
+		s.platform.Wait(stopTimeout)
+	}
+}
+
+func (s *Site) settingsPath(vm string) string {
+	return filepath.Join(s.config.Directory, vm+".json")
+}
+
+func (s *Site) logPath(name string) string {
+	return filepath.Join(s.config.Directory, name+".log")
+}
+
+// freeAddress returns a loopback address that nothing listens on.
+func freeAddress() (netip.AddrPort, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, ErrStart.Wrap(err, "find a free port")
+	}
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	if err := listener.Close(); err != nil {
+		return netip.AddrPort{}, ErrStart.Wrap(err, "find a free port")
+	}
+	return address, nil
+}
+
+func waitForTCP(ctx context.Context, address netip.AddrPort) error {
+	deadline := time.Now().Add(startTimeout)
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		conn, err := net.DialTimeout("tcp", address.String(), time.Second)
+		if err == nil {
+			return conn.Close()
+		}
+		time.Sleep(pollInterval)
+	}
+	return ErrStart.New("nothing answers on %s", address)
+}
