--- /dev/null
+++ b/admission/limiter.go
@@ -0,0 +1,259 @@
+package admission
+
+import (
+	"time"
+
+	"auburngap/request"
+)
+
+// Config makes a Limiter. Zero fields take the defaults named.
+type Config struct {
+	// Slots is what the backend server announces, the ceiling of the limit.
+	Slots int
+	// StartShare is the part of the slots that a new limiter starts with; 0.5.
+	StartShare float64
+	// MaxSojourn is the longest wait in the queue; 50 ms.
+	MaxSojourn time.Duration
+	// QueueShare is the length of the queue as a part of the limit; 1.
+	QueueShare float64
+	// Fixed keeps the limit at the announced slots.
+	Fixed bool
+}
+
+func (c Config) withDefaults() Config {
+	if c.Slots <= 0 {
+		c.Slots = 1
+	}
+	if c.StartShare <= 0 {
+		c.StartShare = 0.5
+	}
+	if c.MaxSojourn <= 0 {
+		c.MaxSojourn = 50 * time.Millisecond
+	}
+	if c.QueueShare <= 0 {
+		c.QueueShare = 1
+	}
+	return c
+}
+
+// Limiter guards the slots of one backend server.
+type Limiter struct {
+	config   Config
+	limit    concurrencyLimit
+	queue    queue
+	shares   fairShare
+	levels   levels
+	inFlight int
+	started  []*Ticket
+	dropped  []Drop
+}
+
+// New returns a limiter with an empty queue.
+func New(config Config) *Limiter {
+	config = config.withDefaults()
+	l := &Limiter{config: config, queue: newQueue(), shares: newFairShare(), levels: newLevels()}
+	l.limit.floor = 1
+	l.Announce(config.Slots)
+	l.limit.current = l.limit.ceiling
+	if !config.Fixed {
+		l.limit.current = max(1, config.StartShare*l.limit.ceiling)
+	}
+	return l
+}
+
+// Announce takes in the slots that the backend server reports. They bound the
+// limit from above and do nothing else.
+func (l *Limiter) Announce(slots int) {
+	l.limit.setCeiling(float64(max(1, slots)))
+}
+
+// Limit returns the calls that may run at once.
+func (l *Limiter) Limit() int { return l.limit.value() }
+
+// InFlight returns the calls that run now.
+func (l *Limiter) InFlight() int { return l.inFlight }
+
+// Queued returns the calls that wait.
+func (l *Limiter) Queued() int { return l.queue.len() }
+
+// Offer decides on a new call. Changes may drop queued tickets in its favour.
+func (l *Limiter) Offer(t *Ticket, now time.Time) (Verdict, Changes) {
+	l.begin(now)
+	l.levels.offered(t.Priority)
+	t.offered = now
+	l.expire(now)
+	if t.missesDeadline(now, l.expectedWait()+l.expectedLatency()) {
+		l.levels.refused()
+		return Verdict{Action: Refuse, Cause: request.CauseDeadline}, l.changes()
+	}
+	l.shares.charge(t)
+	if l.inFlight < l.limit.value() && l.queue.len() == 0 {
+		l.run(t, now)
+		return Verdict{Action: Run}, l.changes()
+	}
+	l.limit.saturated = true
+	if !l.makeRoom(t) {
+		l.shares.refund(t)
+		l.levels.refused()
+		return Verdict{Action: Refuse, Cause: request.CauseOverload}, l.changes()
+	}
+	t.state = ticketQueued
+	l.queue.add(t)
+	l.startQueued(now)
+	if t.state == ticketRunning {
+		l.started = l.started[:len(l.started)-1]
+		return Verdict{Action: Run}, l.changes()
+	}
+	return Verdict{Action: Queue}, l.changes()
+}
+
+// Finish ends a running call and starts queued ones in its place.
+func (l *Limiter) Finish(t *Ticket, now time.Time, result Result) Changes {
+	l.begin(now)
+	if t.state != ticketRunning {
+		return l.changes()
+	}
+	if result.Own <= 0 {
+		result.Own = now.Sub(t.started)
+	}
+	if !l.config.Fixed {
+		l.limit.observe(now, result)
+	}
+	l.free(t)
+	l.startQueued(now)
+	return l.changes()
+}
+
+// Cancel ends a queued or running call that nobody waits for any more. The
+// slot is free at once: the caller has passed the cancellation on.
+func (l *Limiter) Cancel(t *Ticket, now time.Time) Changes {
+	l.begin(now)
+	switch t.state {
+	case ticketQueued:
+		l.unqueue(t)
+	case ticketRunning:
+		l.free(t)
+		l.startQueued(now)
+	case ticketIdle:
+	}
+	return l.changes()
+}
+
+// Expire drops the queued tickets that have waited too long; to be called at
+// the time of NextExpiry.
+func (l *Limiter) Expire(now time.Time) Changes {
+	l.begin(now)
+	l.startQueued(now)
+	return l.changes()
+}
+
+// NextExpiry returns when the oldest queued ticket has waited too long; false
+// with an empty queue.
+func (l *Limiter) NextExpiry() (time.Time, bool) {
+	if l.queue.oldest == nil {
+		return time.Time{}, false
+	}
+	return l.queue.oldest.offered.Add(l.config.MaxSojourn), true
+}
+
+// Level returns the admission level to send back with answers.
+func (l *Limiter) Level(now time.Time) uint16 {
+	l.levels.advance(now, l.occupancy())
+	return l.levels.level
+}
+
+func (l *Limiter) begin(now time.Time) {
+	l.levels.advance(now, l.occupancy())
+	l.started = l.started[:0]
+	l.dropped = l.dropped[:0]
+}
+
+func (l *Limiter) changes() Changes {
+	return Changes{Started: l.started, Dropped: l.dropped}
+}
+
+// occupancy returns running and queued calls as a part of the limit.
+func (l *Limiter) occupancy() float64 {
+	return float64(l.inFlight+l.queue.len()) / float64(l.limit.value())
+}
+
+// makeRoom sheds the queue's last ticket if t goes before it, and tells
+// whether t may be queued.
+func (l *Limiter) makeRoom(t *Ticket) bool {
+	if l.queue.len() < max(1, int(l.config.QueueShare*l.limit.current)) {
+		return true
+	}
+	victim := l.queue.victim()
+	if !t.key.before(victim.key) {
+		return false
+	}
+	l.drop(victim, request.CauseOverload)
+	return true
+}
+
+// startQueued fills the free slots from the queue.
+func (l *Limiter) startQueued(now time.Time) {
+	l.expire(now)
+	for l.inFlight < l.limit.value() {
+		t := l.queue.next()
+		if t == nil {
+			return
+		}
+		if t.missesDeadline(now, l.expectedLatency()) {
+			l.drop(t, request.CauseDeadline)
+			continue
+		}
+		l.queue.remove(t)
+		l.run(t, now)
+		l.started = append(l.started, t)
+	}
+}
+
+func (l *Limiter) expire(now time.Time) {
+	for t := l.queue.oldest; t != nil && now.Sub(t.offered) >= l.config.MaxSojourn; t = l.queue.oldest {
+		l.drop(t, request.CauseOverload)
+	}
+}
+
+func (l *Limiter) run(t *Ticket, now time.Time) {
+	l.shares.serve(t)
+	l.levels.started()
+	t.state = ticketRunning
+	t.started = now
+	l.inFlight++
+	if l.inFlight >= l.limit.value() {
+		l.limit.saturated = true
+	}
+}
+
+func (l *Limiter) drop(t *Ticket, cause request.Cause) {
+	l.unqueue(t)
+	l.levels.refused()
+	l.dropped = append(l.dropped, Drop{Ticket: t, Cause: cause})
+}
+
+func (l *Limiter) unqueue(t *Ticket) {
+	l.queue.remove(t)
+	l.shares.refund(t)
+	t.state = ticketIdle
+}
+
+func (l *Limiter) free(t *Ticket) {
+	l.inFlight--
+	l.shares.release(t)
+	t.state = ticketIdle
+}
+
+// expectedLatency is the least that a call takes; zero at an idle server, so
+// that a stale estimate cannot refuse for ever.
+func (l *Limiter) expectedLatency() time.Duration {
+	if l.inFlight == 0 {
+		return 0
+	}
+	return l.limit.baseline
+}
+
+// expectedWait is the time that the queue needs to drain.
+func (l *Limiter) expectedWait() time.Duration {
+	return time.Duration(float64(l.queue.len()) * float64(l.limit.mean) / l.limit.current)
+}
