Choose backend servers by own counts, signals and latency

The randomised test found that a server dropped from the list and listed again lost its drain mark and counts; dropped servers are now kept while these matter.

--- /dev/null
+++ b/route/server.go
@@ -0,0 +1,130 @@
+package route
+
+import "time"
+
+// The bounds of how a server's share is bent.
+const (
+	// coldShare is the part of its slots that a server starts with.
+	coldShare = 0.1
+	// maxSlowness bounds the penalty of a slow server, so that it is still
+	// tried and can show that it has recovered.
+	maxSlowness = 4
+	// latencyWeight is the weight of the newest latency in the moving averages.
+	latencyWeight = 0.1
+	// maxEjectionDoublings bounds the length of an ejection.
+	maxEjectionDoublings = 5
+)
+
+// server is a target with what this node has seen of it.
+type server struct {
+	target *Target
+	// listed is false once the directory has dropped the server.
+	listed bool
+	// update is the last Update that listed it.
+	update uint64
+	// inFlight counts this node's own calls.
+	inFlight int
+	// others is the load that the last report left beside this node's own calls.
+	others     int
+	reportedAt time.Time
+	// limit is the concurrency limit that the server's node last told; zero is unknown.
+	limit int
+	// latency is a moving average.
+	latency   time.Duration
+	latencyAt time.Time
+	// warmFrom is when the server's slow start began.
+	warmFrom time.Time
+
+	failures      int
+	ejections     int
+	ejectedUntil  time.Time
+	drainingUntil time.Time
+}
+
+// report takes in a total load and leaves what is not this node's own.
+func (s *server) report(now time.Time, load int) {
+	s.others = max(0, load-s.inFlight)
+	s.reportedAt = now
+}
+
+// available tells whether the server may get new work.
+func (s *server) available(now time.Time) bool {
+	if s.target.Draining || now.Before(s.drainingUntil) {
+		return false
+	}
+	return !now.Before(s.ejectedUntil)
+}
+
+// utilization estimates the part of the server's slots in use, were it to get
+// one more call, raised for cold and slow servers.
+func (s *server) utilization(now time.Time, c *Config, mean time.Duration) float64 {
+	load := 1 + s.inFlight
+	if now.Sub(s.reportedAt) < c.ReportTTL {
+		load += s.others
+	}
+	return float64(load) * s.slowness(now, c, mean) / (s.slots() * s.warmth(now, c))
+}
+
+// forgettable tells whether nothing known of a dropped server matters, should
+// the directory list it again.
+func (s *server) forgettable(now time.Time) bool {
+	return s.inFlight == 0 && !now.Before(s.drainingUntil) && !now.Before(s.ejectedUntil)
+}
+
+func (s *server) slots() float64 {
+	slots := max(1, s.target.Slots)
+	if s.limit > 0 {
+		slots = min(slots, s.limit)
+	}
+	return float64(slots)
+}
+
+// warmth grows from coldShare to 1 over the slow start.
+func (s *server) warmth(now time.Time, c *Config) float64 {
+	age := now.Sub(s.warmFrom)
+	if age >= c.SlowStart {
+		return 1
+	}
+	return coldShare + (1-coldShare)*float64(max(0, age))/float64(c.SlowStart)
+}
+
+// slowness compares the server's latency with the service's mean. It forgets
+// over ReportTTL, so that a recovered server is found again.
+func (s *server) slowness(now time.Time, c *Config, mean time.Duration) float64 {
+	if s.latency <= mean || mean <= 0 {
+		return 1
+	}
+	age := now.Sub(s.latencyAt)
+	if age >= c.ReportTTL {
+		return 1
+	}
+	ratio := min(float64(s.latency)/float64(mean), maxSlowness)
+	return 1 + (ratio-1)*(1-float64(age)/float64(c.ReportTTL))
+}
+
+func (s *server) observeLatency(now time.Time, latency time.Duration) {
+	s.latency = movingAverage(s.latency, latency)
+	s.latencyAt = now
+}
+
+func movingAverage(mean, latest time.Duration) time.Duration {
+	if mean == 0 {
+		return latest
+	}
+	return mean + time.Duration(latencyWeight*float64(latest-mean))
+}
+
+// succeed forgets the failures in a row.
+func (s *server) succeed() {
+	s.failures = 0
+	s.ejections = 0
+}
+
+// eject takes the server out for a time that doubles with each ejection; it
+// comes back with a slow start.
+func (s *server) eject(now time.Time, c *Config) {
+	s.ejectedUntil = now.Add(c.Ejection << min(s.ejections, maxEjectionDoublings))
+	s.warmFrom = s.ejectedUntil
+	s.ejections++
+	s.failures = 0
+}
