--- a/bundle/duration.go
+++ b/bundle/duration.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"time"
 )
 
@@ -14,11 +15,11 @@
 func (d *Duration) UnmarshalJSON(data []byte) error {
 	var text string
 	if err := json.Unmarshal(data, &text); err != nil {
-		return err
+		return fmt.Errorf("%s is no time; one such as \"250ms\" is needed", data)
 	}
 	parsed, err := time.ParseDuration(text)
 	if err != nil {
-		return err
+		return fmt.Errorf("%q is no time; one such as \"250ms\" is needed", text)
 	}
 	*d = Duration(parsed)
 	return nil
--- /dev/null
+++ b/bundle/fault.go
@@ -0,0 +1,46 @@
+package bundle
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Fault is one thing wrong with a bundle.
+type Fault struct {
+	// Line is 0 where the bundle was not read from text.
+	Line int `json:"line,omitempty"`
+	// Field is the path of the field, such as workspaces[2].rate.
+	Field string `json:"field"`
+	// Allowed says what is wrong and what is allowed.
+	Allowed string `json:"allowed"`
+}
+
+// String returns the fault as one line of text.
+func (f Fault) String() string {
+	if f.Line == 0 {
+		return f.Field + ": " + f.Allowed
+	}
+	return fmt.Sprintf("%d: %s: %s", f.Line, f.Field, f.Allowed)
+}
+
+// FaultsError is every fault of a bundle.
+type FaultsError struct {
+	Faults []Fault
+}
+
+// Error implements error; it gives one line for each fault.
+func (e *FaultsError) Error() string {
+	lines := make([]string, len(e.Faults))
+	for i, fault := range e.Faults {
+		lines[i] = fault.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+func sortFaults(faults []Fault) {
+	slices.SortStableFunc(faults, func(a, b Fault) int {
+		return cmp.Compare(a.Line, b.Line)
+	})
+}
--- a/bundle/index.go
+++ b/bundle/index.go
@@ -18,8 +18,10 @@
 	workspaces map[string]*Workspace
 	services   map[string]*Service
 	zones      map[string]*Zone
-	routes     []*Route
 	byName     map[string]*Route
+	byPrefix   map[string][]*Route
+	// longestPrefix bounds the look-ups of long paths.
+	longestPrefix int
 }
 
 type keyEntry struct {
@@ -36,6 +38,7 @@
 		services:   make(map[string]*Service),
 		zones:      make(map[string]*Zone),
 		byName:     make(map[string]*Route),
+		byPrefix:   make(map[string][]*Route),
 	}
 	for i := range b.Workspaces {
 		index.addWorkspace(&b.Workspaces[i])
@@ -47,15 +50,17 @@
 		index.zones[b.Zones[i].Name] = &b.Zones[i]
 	}
 	for i := range b.Routes {
-		index.routes = append(index.routes, &b.Routes[i])
-		index.byName[b.Routes[i].Name] = &b.Routes[i]
+		index.addRoute(&b.Routes[i])
 	}
-	slices.SortStableFunc(index.routes, func(a, b *Route) int {
-		return len(b.Prefix) - len(a.Prefix)
-	})
 	return index
 }
 
+func (x *Index) addRoute(route *Route) {
+	x.byName[route.Name] = route
+	x.byPrefix[route.Prefix] = append(x.byPrefix[route.Prefix], route)
+	x.longestPrefix = max(x.longestPrefix, len(route.Prefix))
+}
+
 func (x *Index) addWorkspace(w *Workspace) {
 	x.workspaces[w.Name] = w
 	for _, key := range w.Keys {
@@ -108,25 +113,36 @@
 }
 
 // Match returns the route of a caller's request: the longest prefix that ends
-// at a path segment and allows the method.
+// at a path segment and allows the method. Its time grows with the segments of
+// the path, not with the number of routes.
 func (x *Index) Match(method, path string) (*Route, bool) {
-	for _, route := range x.routes {
-		if route.matches(method, path) {
+	for end := len(path); end > 0; end = strings.LastIndexByte(path[:end], '/') {
+		if end < len(path) {
+			if route, ok := x.atPrefix(method, path[:end+1]); ok { // with its last slash
+				return route, true
+			}
+		}
+		if route, ok := x.atPrefix(method, path[:end]); ok {
 			return route, true
 		}
 	}
-	return nil, false
+	if path == "" {
+		return nil, false
+	}
+	return x.atPrefix(method, path[:1])
 }
 
-func (r *Route) matches(method, path string) bool {
-	if !strings.HasPrefix(path, r.Prefix) {
-		return false
+// atPrefix returns the route of exactly this prefix.
+func (x *Index) atPrefix(method, prefix string) (*Route, bool) {
+	if len(prefix) > x.longestPrefix {
+		return nil, false
 	}
-	rest := path[len(r.Prefix):]
-	if rest != "" && rest[0] != '/' && !strings.HasSuffix(r.Prefix, "/") {
-		return false
+	for _, route := range x.byPrefix[prefix] {
+		if len(route.Methods) == 0 || slices.Contains(route.Methods, method) {
+			return route, true
+		}
 	}
-	return len(r.Methods) == 0 || slices.Contains(r.Methods, method)
+	return nil, false
 }
 
 // Allows tells whether a workspace may use the route.
