Sign bundles off, keep them in the platform, move nodes only upwards

Cause: the head held a bare bundle that anybody could write. A bundle is cut into sections now (one for the site, each workspace, service and route); the hash over them is what operators sign with Ed25519, and a record carries only what changed against the version before, a whole one every 64 versions. The operators named by the version in force decide; the node's settings decide on the first. The write of bundle/version/N, which must not exist, settles a race; the head follows, by the next operator where the first one's tool died. Tracker takes records from platform or peers, refuses forged ones and moves only upwards; a version comes into force once the zone's relays hold it.

Ruled out: signing the version alone without its operators' version, as a node far behind could not tell which operators to ask; a hash over names ended by a zero byte, as a name may hold one (they go in with their length); refusing a whole signed record whose predecessor is unknown, which would leave a node stuck for ever.

--- a/bundle/delta.go
+++ b/bundle/delta.go
@@ -34,7 +34,7 @@
 			delta.Changed[name] = part.content
 		}
 	}
-	for _, name := range from.names() {
+	for _, name := range from.names {
 		if _, kept := to.parts[name]; !kept {
 			delta.Removed = append(delta.Removed, name)
 		}
@@ -46,11 +46,11 @@
 // where the delta is for other sections, and ErrCorrupt where the result has
 // not the hash that the delta promises.
 func (s Sections) Apply(delta Delta) (Sections, error) {
+	if !delta.Whole() && s.root != delta.From {
+		return Sections{}, ErrBase.New("the delta is for sections %s", delta.From)
+	}
 	changed := Sections{parts: make(map[string]section, len(s.parts)+len(delta.Changed))}
 	if !delta.Whole() {
-		if s.Root() != delta.From {
-			return Sections{}, ErrBase.New("the delta is for sections %s", delta.From)
-		}
 		maps.Copy(changed.parts, s.parts)
 	}
 	for _, name := range delta.Removed {
@@ -59,12 +59,28 @@
 	for name, content := range delta.Changed {
 		changed.set(name, compact(content))
 	}
+	changed = changed.resealed(s)
 	if changed.Root() != delta.To {
 		return Sections{}, ErrCorrupt.New("the sections have not the hash %s", delta.To)
 	}
 	return changed, nil
 }
 
+// resealed is sealed for sections made from others, whose names it uses
+// where they are the same.
+func (s Sections) resealed(from Sections) Sections {
+	if len(s.parts) != len(from.names) {
+		return s.sealed()
+	}
+	for _, name := range from.names {
+		if _, kept := s.parts[name]; !kept {
+			return s.sealed()
+		}
+	}
+	s.names = from.names
+	return s.hashed()
+}
+
 // compact undoes the white space that JSON may gain on its way.
 func compact(content []byte) []byte {
 	var out bytes.Buffer
--- /dev/null
+++ b/bundle/diff.go
@@ -0,0 +1,137 @@
+package bundle
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// The kinds of changes.
+const (
+	ChangeAdded   = "added"
+	ChangeRemoved = "removed"
+	ChangeChanged = "changed"
+)
+
+// Change is a difference of one section between two bundles.
+type Change struct {
+	// Section is such as "workspace/desk".
+	Section string        `json:"section"`
+	Kind    string        `json:"kind"`
+	Fields  []FieldChange `json:"fields,omitempty"`
+}
+
+// FieldChange is a difference of one field; values are JSON, empty for none.
+type FieldChange struct {
+	Field string `json:"field"`
+	From  string `json:"from,omitempty"`
+	To    string `json:"to,omitempty"`
+}
+
+// Diff returns the changes that lead from one bundle's sections to another's,
+// ordered by section.
+func Diff(from, to Sections) []Change {
+	names := slices.Concat(from.names, to.names)
+	slices.Sort(names)
+	var changes []Change
+	for _, name := range slices.Compact(names) {
+		before, had := from.parts[name]
+		after, has := to.parts[name]
+		if before.hash == after.hash {
+			continue
+		}
+		changes = append(changes, Change{
+			Section: name,
+			Kind:    changeKind(had, has),
+			Fields:  fieldChanges(flatten(before.content), flatten(after.content)),
+		})
+	}
+	return changes
+}
+
+func changeKind(had, has bool) string {
+	switch {
+	case !had:
+		return ChangeAdded
+	case !has:
+		return ChangeRemoved
+	default:
+		return ChangeChanged
+	}
+}
+
+func fieldChanges(from, to map[string]string) []FieldChange {
+	fields := slices.Concat(sortedKeys(from), sortedKeys(to))
+	slices.Sort(fields)
+	var changes []FieldChange
+	for _, field := range slices.Compact(fields) {
+		if from[field] != to[field] {
+			changes = append(changes, FieldChange{Field: field, From: from[field], To: to[field]})
+		}
+	}
+	return changes
+}
+
+// flatten returns the JSON of each innermost field by its path. Items of
+// lists go by their name or ID where they have one.
+func flatten(content []byte) map[string]string {
+	flat := make(map[string]string)
+	var tree any
+	if err := json.Unmarshal(content, &tree); err == nil {
+		flattenInto(flat, "", tree)
+	}
+	return flat
+}
+
+func flattenInto(flat map[string]string, path string, tree any) {
+	switch node := tree.(type) {
+	case map[string]any:
+		for name, inner := range node {
+			flattenInto(flat, strings.TrimPrefix(path+"."+name, "."), inner)
+		}
+	case []any:
+		for i, inner := range node {
+			flattenInto(flat, fmt.Sprintf("%s[%s]", path, itemName(inner, i)), inner)
+		}
+	default:
+		encoded, err := json.Marshal(node)
+		if err != nil {
+			encoded = []byte("?")
+		}
+		flat[path] = string(encoded)
+	}
+}
+
+func itemName(item any, position int) string {
+	if object, ok := item.(map[string]any); ok {
+		for _, field := range []string{"name", "id"} {
+			if name, ok := object[field].(string); ok {
+				return name
+			}
+		}
+	}
+	return fmt.Sprint(position)
+}
+
+// String returns the change as lines of text.
+func (c Change) String() string {
+	marks := map[string]string{ChangeAdded: "+", ChangeRemoved: "-", ChangeChanged: "~"}
+	lines := []string{marks[c.Kind] + " " + c.Section}
+	for _, field := range c.Fields {
+		lines = append(lines, "    "+field.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// String returns the change as one line of text.
+func (f FieldChange) String() string {
+	switch {
+	case f.From == "":
+		return f.Field + ": " + f.To
+	case f.To == "":
+		return f.Field + ": was " + f.From
+	default:
+		return f.Field + ": " + f.From + " > " + f.To
+	}
+}
--- a/bundle/sections.go
+++ b/bundle/sections.go
@@ -1,7 +1,6 @@
 package bundle
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/base64"
 	"encoding/binary"
@@ -61,6 +60,8 @@
 // node that knows fewer fields comes to the same hashes.
 type Sections struct {
 	parts map[string]section
+	names []string // of all parts, sorted
+	root  Hash
 }
 
 // siteSection is what belongs to no workspace, service or route.
@@ -93,7 +94,7 @@
 			return Sections{}, err
 		}
 	}
-	return s, nil
+	return s.sealed(), nil
 }
 
 func (s Sections) add(name string, content any) error {
@@ -111,26 +112,37 @@
 
 // Root is the hash of all sections: what operators sign.
 func (s Sections) Root() Hash {
-	var text bytes.Buffer
-	text.WriteString(rootLabel)
-	for _, name := range s.names() {
-		text.Write(binary.BigEndian.AppendUint32(nil, uint32(len(name))))
-		text.WriteString(name)
-		hash := s.parts[name].hash
-		text.Write(hash[:])
-	}
-	return sha256.Sum256(text.Bytes())
+	return s.root
+}
+
+// sealed returns the sections with their names in order.
+func (s Sections) sealed() Sections {
+	s.names = slices.Sorted(maps.Keys(s.parts))
+	return s.hashed()
 }
 
-func (s Sections) names() []string {
-	return slices.Sorted(maps.Keys(s.parts))
+// hashed returns the sections with their root. Names go in with their length,
+// so that no two sets of sections have the same text.
+func (s Sections) hashed() Sections {
+	digest := sha256.New()
+	digest.Write([]byte(rootLabel))
+	var line []byte
+	for _, name := range s.names {
+		hash := s.parts[name].hash
+		line = binary.BigEndian.AppendUint32(line[:0], uint32(len(name)))
+		line = append(line, name...)
+		line = append(line, hash[:]...)
+		digest.Write(line)
+	}
+	digest.Sum(s.root[:0])
+	return s
 }
 
 // Join makes the bundle of the sections; its lists are ordered by name. It
 // returns ErrCorrupt where a section cannot be read.
 func (s Sections) Join(version uint64) (*Bundle, error) {
 	b := &Bundle{Version: version}
-	for _, name := range s.names() {
+	for _, name := range s.names {
 		if err := b.take(name, s.parts[name].content); err != nil {
 			return nil, errorx.Decorate(err, "section %s", name)
 		}
--- /dev/null
+++ b/bundle/store_test.go
@@ -0,0 +1,248 @@
+package bundle_test
+
+import (
+	"context"
+	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/base64"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/joomcode/errorx"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"auburngap/bundle"
+	"auburngap/platform"
+	"auburngap/platform/fake"
+)
+
+var operators = []string{"ndapewa", "tuyeni", "martha"}
+
+func signerOf(name string) bundle.Signer {
+	seed := sha256.Sum256([]byte("test operator " + name))
+	return bundle.Signer{Name: name, Key: ed25519.NewKeyFromSeed(seed[:])}
+}
+
+func operatorOf(name string) bundle.Operator {
+	public := signerOf(name).Key.Public().(ed25519.PublicKey)
+	return bundle.Operator{Name: name, PublicKey: base64.StdEncoding.EncodeToString(public)}
+}
+
+// testBundle is the style desk's bundle with operators whose keys the tests have.
+func testBundle(t testing.TB) *bundle.Bundle {
+	b := parseSite(t, "windhoek")
+	b.Operators = nil
+	for _, name := range operators {
+		b.Operators = append(b.Operators, operatorOf(name))
+	}
+	return b
+}
+
+func rootTrust() bundle.Trust {
+	trust := bundle.Trust{SignOffs: 2}
+	for _, name := range operators {
+		trust.Operators = append(trust.Operators, operatorOf(name))
+	}
+	return trust
+}
+
+type desk struct {
+	*testing.T
+	service *fake.Service
+	store   *bundle.Store
+}
+
+func newDesk(t *testing.T) *desk {
+	service := fake.New(fake.Config{})
+	return &desk{T: t, service: service, store: bundle.NewStore(bundle.StoreConfig{Client: service, Pause: time.Microsecond})}
+}
+
+func (d *desk) propose(b *bundle.Bundle) bundle.Proposal {
+	d.Helper()
+	proposal, err := d.store.Propose(d.Context(), bundle.ProposeRequest{Bundle: b, Author: "ndapewa"})
+	assert.NilError(d, err)
+	return proposal
+}
+
+// proposeRate proposes a change of the first workspace's rate.
+func (d *desk) proposeRate(rate float64) bundle.Proposal {
+	b := testBundle(d)
+	b.Workspaces[0].Rate = rate
+	return d.propose(b)
+}
+
+func (d *desk) approve(proposal bundle.Proposal, names ...string) {
+	d.Helper()
+	for _, name := range names {
+		_, err := d.store.Approve(d.Context(), proposal.ID(), signerOf(name))
+		assert.NilError(d, err)
+	}
+}
+
+func (d *desk) rollout(proposal bundle.Proposal) bundle.Record {
+	d.Helper()
+	record, err := d.store.Rollout(d.Context(), proposal.ID())
+	assert.NilError(d, err)
+	return record
+}
+
+func (d *desk) accept(b *bundle.Bundle) bundle.Record {
+	d.Helper()
+	proposal := d.propose(b)
+	d.approve(proposal, "ndapewa", "tuyeni")
+	return d.rollout(proposal)
+}
+
+func (d *desk) head() bundle.Head {
+	d.Helper()
+	head, err := d.store.Head(d.Context())
+	assert.NilError(d, err)
+	return head
+}
+
+func assertType(t testing.TB, err error, want *errorx.Type) {
+	t.Helper()
+	assert.Assert(t, errorx.IsOfType(err, want), "got %v", err)
+}
+
+func TestProposeApproveRollout(t *testing.T) {
+	d := newDesk(t)
+	_, err := d.store.Head(t.Context())
+	assertType(t, err, bundle.ErrNoBundle)
+	proposal := d.propose(testBundle(t))
+	d.approve(proposal, "ndapewa", "ndapewa")
+	_, err = d.store.Rollout(t.Context(), proposal.ID())
+	assertType(t, err, bundle.ErrNotReady)
+	d.approve(proposal, "martha")
+	d.rollout(proposal)
+	d.rollout(proposal) // again changes nothing
+	assert.Equal(t, d.head().Version, uint64(1))
+	loaded, err := d.store.Load(t.Context(), 1)
+	assert.NilError(t, err)
+	assert.Equal(t, len(loaded.Bundle.Workspaces), 8)
+}
+
+func TestApproveByStranger(t *testing.T) {
+	d := newDesk(t)
+	proposal := d.propose(testBundle(t))
+	_, err := d.store.Approve(t.Context(), proposal.ID(), signerOf("mallory"))
+	assertType(t, err, bundle.ErrForged)
+}
+
+// TestTwoApproveAtOnce: no sign-off is lost.
+func TestTwoApproveAtOnce(t *testing.T) {
+	d := newDesk(t)
+	proposal := d.propose(testBundle(t))
+	var group errgroup.Group
+	for _, name := range operators {
+		group.Go(func() error {
+			_, err := d.store.Approve(t.Context(), proposal.ID(), signerOf(name))
+			return err
+		})
+	}
+	assert.NilError(t, group.Wait())
+	stored, err := d.store.Proposal(t.Context(), proposal.ID())
+	assert.NilError(t, err)
+	assert.Equal(t, len(stored.SignOffs), len(operators))
+}
+
+// TestTwoRollOutAtOnce: one wins, and the other is told.
+func TestTwoRollOutAtOnce(t *testing.T) {
+	for range 20 {
+		d := newDesk(t)
+		d.accept(testBundle(t))
+		proposals := []bundle.Proposal{d.proposeRate(1), d.proposeRate(2)}
+		errs := make([]error, len(proposals))
+		for _, proposal := range proposals {
+			d.approve(proposal, "tuyeni", "martha")
+		}
+		var group errgroup.Group
+		for i, proposal := range proposals {
+			group.Go(func() error {
+				_, errs[i] = d.store.Rollout(t.Context(), proposal.ID())
+				return nil
+			})
+		}
+		assert.NilError(t, group.Wait())
+		winner := 0
+		if errs[0] != nil {
+			winner = 1
+		}
+		assert.NilError(t, errs[winner])
+		assertType(t, errs[1-winner], bundle.ErrConflict)
+		assert.DeepEqual(t, d.head(), bundle.Head{Version: 2, Proposal: proposals[winner].ID()})
+	}
+}
+
+// TestLostAnswers loses answers and requests at every write in turn.
+func TestLostAnswers(t *testing.T) {
+	for _, prefix := range []string{"bundle/proposal/", "bundle/version/", "bundle/head"} {
+		for lost := range 4 {
+			faults := fake.Faults{LoseAnswers: lost, LoseRequests: 4 - lost, LosePrefix: prefix}
+			t.Run(fmt.Sprint(prefix, lost), func(t *testing.T) {
+				d := newDesk(t)
+				d.service.SetFaults(faults)
+				d.accept(testBundle(t))
+				d.service.SetFaults(faults)
+				d.accept(testBundle(t))
+				assert.Equal(t, d.head().Version, uint64(2))
+			})
+		}
+	}
+}
+
+// TestLostAnswerThenRival: the operator whose answer was lost finds that the
+// own write won, though a rival came right after.
+func TestLostAnswerThenRival(t *testing.T) {
+	d := newDesk(t)
+	first, second := d.propose(testBundle(t)), d.proposeRate(2)
+	d.approve(first, "tuyeni", "martha")
+	d.approve(second, "tuyeni", "martha")
+	d.service.SetFaults(fake.Faults{LoseAnswers: 1, LosePrefix: "bundle/version/"})
+	d.rollout(first)
+	_, err := d.store.Rollout(t.Context(), second.ID())
+	assertType(t, err, bundle.ErrConflict)
+	_, err = d.store.Approve(t.Context(), second.ID(), signerOf("ndapewa"))
+	assertType(t, err, bundle.ErrConflict)
+}
+
+// TestToolDiesBeforeHead: the next operator moves the head on.
+func TestToolDiesBeforeHead(t *testing.T) {
+	d := newDesk(t)
+	d.accept(testBundle(t))
+	first, second := d.proposeRate(1), d.proposeRate(2)
+	d.approve(first, "tuyeni", "martha")
+	d.approve(second, "tuyeni", "martha")
+	d.service.SetFaults(fake.Faults{LoseRequests: 100, LosePrefix: "bundle/head"})
+	_, err := d.store.Rollout(t.Context(), first.ID())
+	assertType(t, err, platform.ErrUnavailable)
+	d.service.SetFaults(fake.Faults{})
+	assert.Equal(t, d.head().Version, uint64(1))
+	_, err = d.store.Rollout(t.Context(), second.ID())
+	assertType(t, err, bundle.ErrConflict)
+	assert.DeepEqual(t, d.head(), bundle.Head{Version: 2, Proposal: first.ID()})
+}
+
+func TestStaleBase(t *testing.T) {
+	d := newDesk(t)
+	d.accept(testBundle(t))
+	d.accept(testBundle(t))
+	_, err := d.store.Propose(t.Context(), bundle.ProposeRequest{Bundle: testBundle(t), Base: 1})
+	assertType(t, err, bundle.ErrConflict)
+	_, err = d.store.Proposal(t.Context(), uuid.New())
+	assertType(t, err, bundle.ErrNoProposal)
+}
+
+func TestPlatformDown(t *testing.T) {
+	d := newDesk(t)
+	d.service.SetFaults(fake.Faults{Down: true})
+	_, err := d.store.Head(t.Context())
+	assertType(t, err, platform.ErrUnavailable)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = d.store.Propose(ctx, bundle.ProposeRequest{Bundle: testBundle(t)})
+	assertType(t, err, platform.ErrUnavailable)
+}
--- /dev/null
+++ b/bundle/tracker.go
@@ -0,0 +1,120 @@
+package bundle
+
+import "slices"
+
+// recentRecords is how many records a tracker keeps for others that lag.
+const recentRecords = 64
+
+// Tracker decides which version is held and which is in force at one node. It
+// only ever moves upwards. It is not safe for concurrent use.
+type Tracker struct {
+	held *Version
+	// pending are versions held and not yet in force, the oldest first.
+	pending []*Version
+	inForce *Index
+	recent  []Record
+}
+
+// NewTracker returns a tracker that trusts the operators of the settings for
+// the first version.
+func NewTracker(roots Trust) *Tracker {
+	return &Tracker{held: rootVersion(roots)}
+}
+
+// Verdict is what became of a record that was offered.
+type Verdict struct {
+	// Accepted tells that the record's version is held now.
+	Accepted bool
+	// NeedVersion, where it is not zero, must be offered first: it named the
+	// operators who signed the record.
+	NeedVersion uint64
+}
+
+// Offer takes a record from the platform or a peer. A version not above the
+// one held is passed over without an error. It returns ErrForged where the
+// sign-offs do not suffice, ErrCorrupt where the parts do not fit, and ErrBase
+// where a delta is for another version: then ask for the record before, or a
+// whole one.
+func (t *Tracker) Offer(record Record) (Verdict, error) {
+	header := record.Header
+	if header.Version <= t.Held() {
+		return Verdict{}, nil
+	}
+	if header.TrustVersion > t.Held() && header.TrustVersion < header.Version {
+		return Verdict{NeedVersion: header.TrustVersion}, nil
+	}
+	next, err := t.held.successor(record)
+	if err != nil {
+		return Verdict{}, err
+	}
+	t.keep(record)
+	t.held = next
+	t.pending = append(t.pending, next)
+	return Verdict{Accepted: true}, nil
+}
+
+// keep stores the record for Since; a gap makes the older ones useless.
+func (t *Tracker) keep(record Record) {
+	if record.Header.Version != t.Held()+1 {
+		t.recent = nil
+	}
+	t.recent = append(t.recent, record)
+	if len(t.recent) > recentRecords {
+		t.recent = slices.Delete(t.recent, 0, len(t.recent)-recentRecords)
+	}
+}
+
+// Held returns the highest version that the node has verified; zero for none.
+func (t *Tracker) Held() uint64 {
+	return t.held.Number()
+}
+
+// HeldVersion returns the highest version verified, or nil.
+func (t *Tracker) HeldVersion() *Version {
+	if t.Held() == 0 {
+		return nil
+	}
+	return t.held
+}
+
+// RelaysHold tells that the zone's relays hold a version: it and the versions
+// below it may come into force. It returns the index that has come into force
+// by this, if one has.
+func (t *Tracker) RelaysHold(version uint64) (*Index, bool) {
+	var next *Version
+	for len(t.pending) > 0 && t.pending[0].Number() <= version {
+		next = t.pending[0]
+		t.pending = t.pending[1:]
+	}
+	if next == nil {
+		return nil, false
+	}
+	t.inForce = NewIndex(next.Bundle)
+	return t.inForce, true
+}
+
+// InForce returns the index in force, or nil before there is one.
+func (t *Tracker) InForce() *Index {
+	return t.inForce
+}
+
+// Since returns the records that bring another node from its version to the
+// one held: those in between where they are kept, else one whole record.
+func (t *Tracker) Since(version uint64) []Record {
+	if version >= t.Held() {
+		return nil
+	}
+	for i, record := range t.recent {
+		if record.Header.Version == version+1 {
+			return slices.Clone(t.recent[i:])
+		}
+	}
+	return []Record{t.held.Whole()}
+}
+
+// Whole returns the version's record with every section in it.
+func (v *Version) Whole() Record {
+	record := v.Record
+	record.Delta = DeltaOf(Sections{}, v.Sections)
+	return record
+}
--- /dev/null
+++ b/bundle/tracker_test.go
@@ -0,0 +1,194 @@
+package bundle_test
+
+import (
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"auburngap/bundle"
+	"auburngap/platform/fake"
+)
+
+// history rolls out so many versions; the operators change at some of them.
+func history(t *testing.T, count int) (*desk, []bundle.Record) {
+	d := newDesk(t)
+	var records []bundle.Record
+	for i := range count {
+		b := testBundle(t)
+		b.Workspaces[0].Rate = float64(i + 1)
+		if i%7 >= 5 {
+			b.Operators = b.Operators[:2]
+		}
+		if i%5 == 4 {
+			b.Workspaces = b.Workspaces[:6]
+		}
+		records = append(records, d.accept(b))
+	}
+	return d, records
+}
+
+func TestFollow(t *testing.T) {
+	d, records := history(t, 70)
+	for _, start := range []int{0, 1, 30, 64, 65, 69, 70} {
+		tracker := bundle.NewTracker(rootTrust())
+		for _, record := range records[:start] {
+			verdict, err := tracker.Offer(record)
+			assert.NilError(t, err)
+			assert.Assert(t, verdict.Accepted)
+		}
+		assert.NilError(t, d.store.Follow(t.Context(), tracker))
+		assert.Equal(t, tracker.Held(), uint64(70))
+		loaded, err := d.store.Load(t.Context(), 70)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, tracker.HeldVersion().Bundle, loaded.Bundle)
+	}
+}
+
+// TestForged offers records that must never come into force.
+func TestForged(t *testing.T) {
+	_, records := history(t, 2)
+	cases := []struct {
+		name   string
+		tamper func(*bundle.Record)
+	}{
+		{"unsigned", func(r *bundle.Record) { r.SignOffs = nil }},
+		{"half signed", func(r *bundle.Record) { r.SignOffs = r.SignOffs[:1] }},
+		{"one operator twice", func(r *bundle.Record) { r.SignOffs[1] = r.SignOffs[0] }},
+		{"a stranger's sign-off", func(r *bundle.Record) {
+			mallory := signerOf("mallory")
+			r.SignOffs[1] = bundle.Sign(r.Header, "tuyeni", mallory.Key)
+		}},
+		{"sign-offs of another version", func(r *bundle.Record) { r.SignOffs = records[0].SignOffs }},
+		{"higher version", func(r *bundle.Record) { r.Header.Version = 9 }},
+		{"another trust", func(r *bundle.Record) { r.Header.TrustVersion = 0 }},
+		{"changed section", func(r *bundle.Record) {
+			for name := range r.Delta.Changed {
+				r.Delta.Changed[name] = []byte(`{}`)
+			}
+		}},
+		{"removed section", func(r *bundle.Record) { r.Delta.Removed = []string{"workspace/desk"} }},
+		{"other sections with their own hash", func(r *bundle.Record) { r.Delta = records[0].Delta }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			tracker := bundle.NewTracker(rootTrust())
+			offerAll(t, tracker, records[:1])
+			forged := copyOf(t, records[1])
+			c.tamper(&forged)
+			_, err := tracker.Offer(forged)
+			assert.Assert(t, err != nil)
+			assert.Equal(t, tracker.Held(), uint64(1))
+			offerAll(t, tracker, records[1:])
+		})
+	}
+}
+
+func offerAll(t testing.TB, tracker *bundle.Tracker, records []bundle.Record) {
+	for _, record := range records {
+		_, err := tracker.Offer(record)
+		assert.NilError(t, err)
+	}
+}
+
+func copyOf(t testing.TB, record bundle.Record) bundle.Record {
+	encoded, err := record.Encode()
+	assert.NilError(t, err)
+	copied, err := bundle.DecodeRecord(encoded)
+	assert.NilError(t, err)
+	return copied
+}
+
+// TestWithdrawnOperator: who signs no more cannot bring a successor about.
+func TestWithdrawnOperator(t *testing.T) {
+	d := newDesk(t)
+	d.accept(testBundle(t))
+	b := testBundle(t)
+	b.Operators = b.Operators[:2]
+	second := d.accept(b)
+	tracker := bundle.NewTracker(rootTrust())
+	assert.NilError(t, d.store.Follow(t.Context(), tracker))
+	header := second.Header
+	header.Version, header.TrustVersion = 3, 2
+	forged := bundle.Record{Header: header, SignOffs: []bundle.SignOff{
+		bundle.Sign(header, "ndapewa", signerOf("ndapewa").Key),
+		bundle.Sign(header, "martha", signerOf("martha").Key),
+	}}
+	_, err := tracker.Offer(forged)
+	assertType(t, err, bundle.ErrForged)
+}
+
+// TestTrackerNeverReverts offers records of any age in any order, from the
+// platform, from peers and forged, and restarts the node now and then.
+func TestTrackerNeverReverts(t *testing.T) {
+	_, records := history(t, 12)
+	index := func(r *rapid.T, name string) int { return rapid.IntRange(0, len(records)-1).Draw(r, name) }
+	rapid.Check(t, func(r *rapid.T) {
+		tracker := bundle.NewTracker(rootTrust())
+		peer := bundle.NewTracker(rootTrust())
+		held, inForce := uint64(0), uint64(0)
+		r.Repeat(map[string]func(*rapid.T){
+			"record":  func(r *rapid.T) { _, _ = tracker.Offer(records[index(r, "record")]) },
+			"to peer": func(r *rapid.T) { _, _ = peer.Offer(records[index(r, "record")]) },
+			"from peer": func(r *rapid.T) {
+				for _, record := range peer.Since(tracker.Held()) {
+					_, _ = tracker.Offer(record)
+				}
+			},
+			"forged": func(r *rapid.T) {
+				forged := records[index(r, "record")]
+				forged.Header.Version += 20
+				_, err := tracker.Offer(forged)
+				if err == nil && tracker.Held() > 12 {
+					r.Fatal("a forged version is held")
+				}
+			},
+			"relays hold": func(r *rapid.T) { tracker.RelaysHold(uint64(index(r, "version") + 1)) },
+			"": func(r *rapid.T) {
+				if tracker.Held() < held {
+					r.Fatalf("held %d after %d", tracker.Held(), held)
+				}
+				held = tracker.Held()
+				if tracker.InForce() == nil {
+					return
+				}
+				b := tracker.InForce().Bundle
+				if b.Version < inForce || b.Version > held {
+					r.Fatalf("in force %d after %d, held %d", b.Version, inForce, held)
+				}
+				inForce = b.Version
+				if b.Workspaces[slices.IndexFunc(b.Workspaces, isDaily)].Rate != float64(b.Version) {
+					r.Fatal("the bundle is not that of its version")
+				}
+			},
+		})
+	})
+}
+
+func isDaily(w bundle.Workspace) bool { return w.Name == "national-daily" }
+
+// TestInForceNeedsRelays: a version waits for the zone's relays.
+func TestInForceNeedsRelays(t *testing.T) {
+	_, records := history(t, 3)
+	tracker := bundle.NewTracker(rootTrust())
+	offerAll(t, tracker, records)
+	assert.Assert(t, tracker.InForce() == nil)
+	index, changed := tracker.RelaysHold(2)
+	assert.Assert(t, changed)
+	assert.Equal(t, index.Bundle.Version, uint64(2))
+	_, changed = tracker.RelaysHold(1)
+	assert.Assert(t, !changed)
+	assert.Equal(t, tracker.InForce().Bundle.Version, uint64(2))
+}
+
+func TestFollowCallsFew(t *testing.T) {
+	d, _ := history(t, 3)
+	tracker := bundle.NewTracker(rootTrust())
+	assert.NilError(t, d.store.Follow(t.Context(), tracker))
+	before := d.service.Counts()
+	assert.NilError(t, d.store.Follow(t.Context(), tracker))
+	assert.DeepEqual(t, d.service.Counts(), fake.Counts{
+		Get: before.Get + 1, Put: before.Put, Watch: before.Watch, List: before.List,
+	})
+}
