--- /dev/null
+++ b/experiment/best.go
@@ -0,0 +1,194 @@
+package experiment
+
+import (
+	"math"
+	"time"
+
+	"auburngap/request"
+)
+
+// stream is the demand of one workspace on one route, in requests a second.
+type stream struct {
+	workspace, route int
+	weight, demand   float64
+	served           float64
+}
+
+// holding returns how long a call holds its slot, and adds the slot seconds of
+// the call and those below it to cost.
+func (s *site) holding(call *callSpec, slow []float64, cost []float64) float64 {
+	total := s.services[call.service].own.Seconds() * slow[call.service]
+	longest := 0.0
+	for i := range call.below {
+		below := s.holding(&call.below[i], slow, cost) + 2*s.zoneDelay.Seconds()
+		longest = max(longest, below)
+		if !call.parallel {
+			total += below
+		}
+	}
+	if call.parallel {
+		total += longest
+	}
+	cost[call.service] += total
+	return total
+}
+
+// costs returns the slot seconds of one request by route and service.
+func (s *site) costs(slow []float64) [][]float64 {
+	table := make([][]float64, len(s.routes))
+	for i := range s.routes {
+		table[i] = make([]float64, len(s.services))
+		s.holding(&s.routes[i].call, slow, table[i])
+	}
+	return table
+}
+
+// baseRate returns the requests a second of all workspaces at demand 1.
+func (s *site) baseRate() float64 {
+	table := s.costs(ones(len(s.services)))
+	busiest := 0.0
+	for i, service := range s.services {
+		use := 0.0
+		for r := range s.routes {
+			use += s.routes[r].share * table[r][i]
+		}
+		busiest = max(busiest, use/float64(service.targets*service.slots))
+	}
+	return baseUtilization / busiest
+}
+
+func ones(n int) []float64 {
+	list := make([]float64, n)
+	for i := range list {
+		list[i] = 1
+	}
+	return list
+}
+
+// fill serves the streams as well as the slots allow: the more important
+// priority first, and within it all streams rise together by weight until
+// their demand is met or a service on their path is full.
+func fill(streams []stream, routes []route, cost [][]float64, slots []float64) {
+	left := append([]float64(nil), slots...)
+	for priority := range request.Priorities {
+		var active []*stream
+		for i := range streams {
+			if routes[streams[i].route].priority == priority && streams[i].demand > 0 {
+				active = append(active, &streams[i])
+			}
+		}
+		for len(active) > 0 {
+			step := rise(active, cost, left)
+			for _, f := range active {
+				f.served += step * f.weight
+				for i, c := range cost[f.route] {
+					left[i] -= step * f.weight * c
+				}
+			}
+			active = unsatisfied(active, cost, left)
+		}
+	}
+}
+
+// rise returns how far all streams can go up until one is met or a service is full.
+func rise(active []*stream, cost [][]float64, left []float64) float64 {
+	step := math.Inf(1)
+	use := make([]float64, len(left))
+	for _, f := range active {
+		step = min(step, (f.demand-f.served)/f.weight)
+		for i, c := range cost[f.route] {
+			use[i] += f.weight * c
+		}
+	}
+	for i := range left {
+		if use[i] > 0 {
+			step = min(step, max(0, left[i])/use[i])
+		}
+	}
+	return step
+}
+
+func unsatisfied(active []*stream, cost [][]float64, left []float64) []*stream {
+	const full = 1e-6
+	kept := active[:0]
+	for _, f := range active {
+		open := f.demand-f.served > full
+		for i, c := range cost[f.route] {
+			if c > 0 && left[i] < full {
+				open = false
+			}
+		}
+		if open {
+			kept = append(kept, f)
+		}
+	}
+	return kept
+}
+
+// best is the outcome of fill, in requests over the measured time.
+type best struct {
+	all, top   float64
+	workspaces []float64
+}
+
+// topPriority is the highest priority present.
+const topPriority request.Priority = 0
+
+// bestPossible returns what could be served at most of the requests that came
+// while the trigger lasted, in each part of the site that holds together.
+func (s *sim) bestPossible(length time.Duration) best {
+	result := best{workspaces: make([]float64, len(s.site.workspaces))}
+	parts := 1
+	if s.scenario.cut {
+		parts = 2
+	}
+	slow := ones(len(s.site.services))
+	slow[s.site.deepService()] = s.scenario.slow
+	for part := range parts {
+		streams := s.streamsOf(part, length)
+		fill(streams, s.site.routes, s.site.costs(slow), s.slotsOf(part))
+		for _, f := range streams {
+			served := f.served * length.Seconds()
+			result.all += served
+			result.workspaces[f.workspace] += served
+			if s.site.routes[f.route].priority == topPriority {
+				result.top += served
+			}
+		}
+	}
+	return result
+}
+
+// partOf returns the part of the site that a zone belongs to while cut.
+func (s *sim) partOf(zone int) int {
+	if s.scenario.cut && zone != 0 {
+		return 1
+	}
+	return 0
+}
+
+func (s *sim) streamsOf(part int, length time.Duration) []stream {
+	var streams []stream
+	for w, workspace := range s.site.workspaces {
+		for r := range s.site.routes {
+			came := 0
+			for zone := range s.site.zones {
+				if s.partOf(zone) == part {
+					came += s.record.came[w][r][zone]
+				}
+			}
+			streams = append(streams, stream{workspace: w, route: r, weight: workspace.weight * s.site.routes[r].share, demand: float64(came) / length.Seconds()})
+		}
+	}
+	return streams
+}
+
+func (s *sim) slotsOf(part int) []float64 {
+	slots := make([]float64, len(s.site.services))
+	for _, t := range s.targets {
+		if s.partOf(t.zone) == part && !t.lost {
+			slots[t.service] += float64(t.slots)
+		}
+	}
+	return slots
+}
--- /dev/null
+++ b/experiment/call.go
@@ -0,0 +1,265 @@
+package experiment
+
+import (
+	"time"
+
+	"auburngap/admission"
+	"auburngap/request"
+	"auburngap/retry"
+)
+
+// call is one call of a service, with its attempts.
+type call struct {
+	request *customerRequest
+	spec    *callSpec
+	from    *node
+	budget  *retry.Budget
+	depth   int
+	parent  *attempt
+	number  int
+	done    func(outcome)
+}
+
+// attempt is one try of a call at one target.
+type attempt struct {
+	call   *call
+	target *target
+	ticket admission.Ticket
+	// limiter is the one that the ticket was offered to.
+	limiter *admission.Limiter
+	budget retry.Budget
+	lent   int
+	ended  bool
+	entered, workStart time.Time
+	workTime, own      time.Duration
+	working            bool
+	next, pending      int
+	signal             signal
+}
+
+// try makes the next attempt.
+func (c *call) try() {
+	s := c.request.sim
+	if c.request.ended && s.policy.cancel {
+		return
+	}
+	c.number++
+	t := c.from.choose(c.spec.service)
+	if t == nil {
+		c.retryOr(notRunNoBackend)
+		return
+	}
+	a := &attempt{call: c, target: t, lent: c.budget.Lend()}
+	a.budget = retry.NewBudget(a.lent)
+	c.request.live = append(c.request.live, a)
+	view := &c.from.views[t.index]
+	view.inFlight++
+	delay := s.delay(c.from.zone, t.zone)
+	if !view.connected {
+		view.connected = true
+		delay += time.Millisecond
+	}
+	s.after(delay, func() {
+		if !a.ended {
+			t.arrive(a)
+		}
+	})
+}
+
+// retryOr tries the call again if the policy allows, or ends it.
+func (c *call) retryOr(o outcome) {
+	s := c.request.sim
+	if o.ok || (c.request.ended && s.policy.cancel) {
+		c.done(o)
+		return
+	}
+	delay, again := c.decide(o)
+	if !again {
+		c.done(o)
+		return
+	}
+	s.record.retries++
+	s.after(delay, c.try)
+}
+
+func (c *call) decide(o outcome) (time.Duration, bool) {
+	s := c.request.sim
+	idempotent := s.site.routes[c.request.customer.route].idempotent
+	if !s.policy.budget {
+		safe := o.outcome == request.NotRun || idempotent
+		return 5 * time.Millisecond, safe && c.number <= s.policy.hopRetries
+	}
+	return s.retries.Next(c.budget, retry.Attempt{
+		Number: c.number, Outcome: o.outcome, Cause: o.cause, Idempotent: idempotent,
+		Overloaded: c.from.gate.Overloaded(c.from.services[c.spec.service], s.now),
+		Deadline:   c.request.deadline,
+	}, s.now, s.random)
+}
+
+func (a *attempt) fillTicket() {
+	r := a.call.request
+	a.ticket = admission.Ticket{Value: a}
+	if r.sim.policy.fixed && !r.sim.policy.gate {
+		return
+	}
+	a.ticket.Priority = r.priority()
+	a.ticket.Depth = a.call.depth
+	a.ticket.Hash = r.hash
+	a.ticket.Deadline = r.deadline
+	if r.sim.policy.fair {
+		workspace := r.sim.site.workspaces[r.customer.workspace]
+		a.ticket.Workspace, a.ticket.Weight = workspace.name, workspace.weight
+	}
+}
+
+// work runs the server's own part and then the calls below.
+func (a *attempt) work(own time.Duration) {
+	s := a.call.request.sim
+	if a.entered.IsZero() {
+		a.entered = s.now
+	}
+	a.working, a.workStart, a.workTime = true, s.now, own
+	s.after(own, func() {
+		if a.ended {
+			return
+		}
+		a.account(own)
+		a.own = s.now.Sub(a.entered)
+		a.below()
+	})
+}
+
+// account books server time to the request.
+func (a *attempt) account(spent time.Duration) {
+	a.working = false
+	r := a.call.request
+	r.sim.record.worked += spent
+	r.work += spent
+	if r.ended && r.failed {
+		r.sim.record.wasted += spent
+	}
+}
+
+// ownLatency is the time in the server without the calls below.
+func (a *attempt) ownLatency() time.Duration {
+	if a.own > 0 {
+		return a.own
+	}
+	return time.Nanosecond
+}
+
+// below makes the calls to other services.
+func (a *attempt) below() {
+	specs := a.call.spec.below
+	if a.next >= len(specs) {
+		if a.pending == 0 {
+			a.finish(served)
+		}
+		return
+	}
+	first, last := a.next, a.next+1
+	if a.call.spec.parallel {
+		last = len(specs)
+	}
+	a.next = last
+	a.pending = last - first
+	for i := first; i < last; i++ {
+		child := &call{
+			request: a.call.request, spec: &specs[i], from: a.call.request.sim.nodes[a.target.index],
+			budget: &a.budget, depth: a.call.depth + 1, parent: a, done: a.childDone,
+		}
+		child.try()
+	}
+}
+
+func (a *attempt) childDone(o outcome) {
+	if a.ended {
+		return
+	}
+	a.pending--
+	if !o.ok {
+		a.finish(failedBelow)
+		return
+	}
+	if a.pending == 0 {
+		a.below()
+	}
+}
+
+// finish ends an attempt that held a slot.
+func (a *attempt) finish(o outcome) {
+	a.target.release(a)
+	a.target.leave(a, admission.Succeeded)
+	a.fail(o)
+}
+
+// lostServer ends an attempt whose server has died.
+func (a *attempt) lostServer() {
+	if a.ended {
+		return
+	}
+	if a.working {
+		a.account(a.call.request.sim.now.Sub(a.workStart))
+	}
+	a.fail(serverLost)
+}
+
+// fail sends the outcome, good or bad, back to the calling node.
+func (a *attempt) fail(o outcome) {
+	if a.ended {
+		return
+	}
+	s := a.call.request.sim
+	a.ended = true
+	a.call.request.live = remove(a.call.request.live, a)
+	if s.policy.gate && !a.target.dead {
+		a.signal[a.target.service] = a.target.limiter.Level(s.now)
+	}
+	load, limit := a.target.limiter.InFlight()+a.target.limiter.Queued(), a.target.limiter.Limit()
+	s.after(s.delay(a.call.from.zone, a.target.zone), func() { a.answer(o, load, limit) })
+}
+
+// answer arrives at the calling node.
+func (a *attempt) answer(o outcome, load, limit int) {
+	c := a.call
+	view := &c.from.views[a.target.index]
+	view.inFlight--
+	view.load, view.limit = load, limit
+	if o.cause == request.CauseNoBackend {
+		view.ejected = c.request.sim.now.Add(ejection)
+	}
+	c.from.learn(a.signal)
+	if c.parent != nil {
+		c.parent.merge(a.signal)
+	}
+	c.budget.Return(a.lent, a.budget.Left())
+	c.retryOr(o)
+}
+
+// merge passes the levels of deeper services on towards the entry node.
+func (a *attempt) merge(deeper signal) {
+	for service, level := range deeper {
+		if level > 0 {
+			a.signal[service] = level
+		}
+	}
+}
+
+// cancel ends an attempt whose request has ended.
+func (a *attempt) cancel() {
+	if a.ended {
+		return
+	}
+	s := a.call.request.sim
+	a.ended = true
+	a.call.request.live = remove(a.call.request.live, a)
+	s.after(s.delay(a.call.from.zone, a.target.zone), func() {
+		if a.working {
+			a.account(min(s.now.Sub(a.workStart), a.workTime))
+		}
+		a.call.from.views[a.target.index].inFlight--
+		if a.limiter == a.target.limiter {
+			a.target.abandon(a)
+		}
+	})
+}
--- /dev/null
+++ b/experiment/figures.go
@@ -0,0 +1,119 @@
+package experiment
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"auburngap/request"
+)
+
+// Figures are what one run measures. Shares go from 0 to 1.
+type Figures struct {
+	// GoodputAll and GoodputTop are whole customer requests served while the
+	// trigger lasted, of the best possible; Top counts the highest priority alone.
+	GoodputAll float64 `json:"goodputAll"`
+	GoodputTop float64 `json:"goodputTop"`
+	// RecoverySeconds is the time after the trigger's end until 95% of new
+	// customers are served at once for two seconds running; -1 is never.
+	RecoverySeconds float64 `json:"recoverySeconds"`
+	// WorstServed is the least-served workspace's part of its fair share.
+	WorstServed float64 `json:"worstServed"`
+	// Wrongful is the part of customers within their rate whose first request failed.
+	Wrongful float64 `json:"wrongful"`
+	// AttemptsPerRequest counts attempts at backend servers for each customer request.
+	AttemptsPerRequest float64 `json:"attemptsPerRequest"`
+	// Wasted is the part of the servers' work done for requests that failed.
+	Wasted float64 `json:"wasted"`
+	// Inverted is the part of half seconds with refusals at a server in which it
+	// served a lower priority, the second half second running.
+	Inverted float64 `json:"inverted"`
+	// ServedByPriority is the part of customers served, by priority.
+	ServedByPriority []float64 `json:"servedByPriority"`
+}
+
+func (s *sim) figures() Figures {
+	r := &s.record
+	got := 0
+	for _, n := range r.gotWorkspace {
+		got += n
+	}
+	return Figures{
+		GoodputAll:         ratio(float64(got), r.best.all),
+		GoodputTop:         ratio(float64(r.gotPriority[topPriority]), r.best.top),
+		RecoverySeconds:    s.recovery(),
+		WorstServed:        s.worstServed(),
+		Wrongful:           ratio(float64(r.firstRefused), float64(r.firstCame)),
+		AttemptsPerRequest: ratio(float64(r.attempts), float64(r.requests)),
+		Wasted:             ratio(float64(r.wasted), float64(r.worked)),
+		Inverted:           s.inverted(),
+		ServedByPriority:   s.servedByPriority(),
+	}
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
+
+func (s *sim) worstServed() float64 {
+	worst := math.Inf(1)
+	for w, n := range s.record.gotWorkspace {
+		worst = min(worst, ratio(float64(n), s.record.best.workspaces[w]))
+	}
+	return worst
+}
+
+// recovery looks for the first of four half seconds in which new customers are served.
+func (s *sim) recovery() float64 {
+	const needed, share = 4, 0.95
+	bins := s.record.bins
+	first := int((warmUp + s.scenario.length) / binLength)
+	for start := first; start+needed < len(bins)-4; start++ {
+		good := true
+		for _, b := range bins[start : start+needed] {
+			good = good && float64(b.first) >= share*float64(b.came)
+		}
+		if good {
+			return (time.Duration(start-first) * binLength).Seconds()
+		}
+	}
+	return -1
+}
+
+func (s *sim) inverted() float64 {
+	bins, inverted := 0, 0
+	for _, t := range s.targets {
+		bins += t.shed.bins
+		inverted += t.shed.inverted
+	}
+	return ratio(float64(inverted), float64(bins))
+}
+
+func (s *sim) servedByPriority() []float64 {
+	var list []float64
+	for p := range request.Priorities {
+		if s.record.cameAt[p] > 0 {
+			list = append(list, ratio(float64(s.record.gotPriority[p]), float64(s.record.cameAt[p])))
+		}
+	}
+	return list
+}
+
+// Spread is a figure over the runs.
+type Spread struct {
+	Min    float64 `json:"min"`
+	Median float64 `json:"median"`
+	Max    float64 `json:"max"`
+}
+
+func spread(runs []Figures, of func(Figures) float64) Spread {
+	var values []float64
+	for _, run := range runs {
+		values = append(values, of(run))
+	}
+	slices.Sort(values)
+	return Spread{Min: values[0], Median: values[len(values)/2], Max: values[len(values)-1]}
+}
--- /dev/null
+++ b/experiment/record.go
@@ -0,0 +1,118 @@
+package experiment
+
+import (
+	"time"
+
+	"auburngap/request"
+)
+
+// binLength divides the run for goodput over time and recovery.
+const binLength = 500 * time.Millisecond
+
+// record counts what one run shows.
+type record struct {
+	// came counts the customers that came while the trigger lasted, by
+	// workspace, route and zone.
+	came [][][]int
+	// bins hold the whole run over time.
+	bins []bin
+	best best
+	// got counts the measured customers served, by workspace and by priority.
+	gotWorkspace []int
+	gotPriority  [request.Priorities]int
+	cameAt       [request.Priorities]int
+	// firstRefused counts customers within their rate whose first request failed, of firstCame.
+	firstCame, firstRefused int
+	requests                int
+	attempts, retries       int
+	worked, wasted          time.Duration
+}
+
+// bin counts customers by the time of their arrival.
+type bin struct {
+	came, first int
+	// completed counts answers by the time they reached the customer.
+	completed [request.Priorities]int
+}
+
+func newRecord(s *site, length time.Duration) record {
+	r := record{gotWorkspace: make([]int, len(s.workspaces))}
+	for range s.workspaces {
+		byRoute := make([][]int, len(s.routes))
+		for i := range byRoute {
+			byRoute[i] = make([]int, s.zones)
+		}
+		r.came = append(r.came, byRoute)
+	}
+	r.bins = make([]bin, int((warmUp+length+aftermath)/binLength)+1)
+	return r
+}
+
+func binOf(at time.Time) int { return int(at.Sub(epoch) / binLength) }
+
+func (r *record) arrival(s *sim, c *customer) {
+	r.bins[binOf(c.arrived)].came++
+	if !c.measured {
+		return
+	}
+	r.came[c.workspace][c.route][c.zone]++
+	r.cameAt[s.site.routes[c.route].priority]++
+	if s.scenario.factor(c.workspace) <= 1 {
+		r.firstCame++
+	}
+}
+
+// answered books the answer to one request of a customer.
+func (r *record) answered(s *sim, c *customer, o outcome) {
+	r.requests++
+	priority := s.site.routes[c.route].priority
+	if !o.ok {
+		if c.measured && c.repeats == 0 && s.scenario.factor(c.workspace) <= 1 {
+			r.firstRefused++
+		}
+		return
+	}
+	r.bins[binOf(s.now)].completed[priority]++
+	if c.repeats == 0 {
+		r.bins[binOf(c.arrived)].first++
+	}
+	// A customer served after the trigger's end counts towards the recovery alone.
+	if c.measured && s.active {
+		r.gotWorkspace[c.workspace]++
+		r.gotPriority[priority]++
+	}
+}
+
+// shedOrder watches one target for a priority that is served while a more
+// important one is refused, for longer than a bin.
+type shedOrder struct {
+	start                     time.Time
+	refusedNow, refusedBefore uint8
+	startedNow                uint8
+	bins, inverted            int
+}
+
+func (o *shedOrder) refused(now time.Time, p request.Priority) {
+	o.advance(now)
+	o.refusedNow |= 1 << p
+}
+
+func (o *shedOrder) started(now time.Time, p request.Priority) {
+	o.advance(now)
+	o.startedNow |= 1 << p
+}
+
+func (o *shedOrder) advance(now time.Time) {
+	if now.Sub(o.start) < binLength {
+		return
+	}
+	both := o.refusedNow & o.refusedBefore
+	if o.refusedNow != 0 {
+		o.bins++
+		// A bit of startedNow above the lowest bit of both is a lower priority.
+		if lowest := both & -both; lowest != 0 && o.startedNow >= lowest<<1 {
+			o.inverted++
+		}
+	}
+	o.refusedBefore, o.refusedNow, o.startedNow, o.start = o.refusedNow, 0, 0, now
+}
--- /dev/null
+++ b/experiment/request.go
@@ -0,0 +1,154 @@
+package experiment
+
+import (
+	"slices"
+	"time"
+
+	"auburngap/admission"
+	"auburngap/request"
+	"auburngap/retry"
+)
+
+// outcome is how a call or a customer request ended.
+type outcome struct {
+	ok      bool
+	cause   request.Cause
+	outcome request.Outcome
+}
+
+var (
+	served          = outcome{ok: true, outcome: request.Answered}
+	notRunNoBackend = outcome{cause: request.CauseNoBackend}.notRun()
+	notRunOverload  = outcome{cause: request.CauseOverload}.notRun()
+	failedBelow     = outcome{cause: request.CauseBackendFailed, outcome: request.Answered}
+	serverLost      = outcome{cause: request.CauseBackendFailed, outcome: request.Unknown}
+	timedOut        = outcome{cause: request.CauseDeadline, outcome: request.Unknown}
+)
+
+func (o outcome) notRun() outcome {
+	o.outcome = request.NotRun
+	return o
+}
+
+func refusal(cause request.Cause) outcome {
+	return outcome{cause: cause}.notRun()
+}
+
+// customer is one customer's wish, with its repeats.
+type customer struct {
+	workspace, route, zone int
+	arrived                time.Time
+	repeats                int
+	measured               bool
+}
+
+const (
+	// politeRepeats and hammerRepeats bound a customer's repeats.
+	politeRepeats, hammerRepeats = 1, 10
+	// hammerPause is the pause of a caller that repeats at once.
+	hammerPause = 20 * time.Millisecond
+)
+
+// customerRequest is one attempt of a customer.
+type customerRequest struct {
+	sim      *sim
+	customer *customer
+	hash     uint32
+	deadline time.Time
+	entry    *node
+	ended    bool
+	failed   bool
+	// work is the servers' own time spent so far.
+	work time.Duration
+	// live holds the attempts that a cancellation has to reach.
+	live   []*attempt
+	budget retry.Budget
+}
+
+func (r *customerRequest) priority() request.Priority {
+	return r.sim.site.routes[r.customer.route].priority
+}
+
+func (s *sim) arrive(workspace, route int) {
+	c := &customer{workspace: workspace, route: route, zone: s.random.IntN(s.site.zones), arrived: s.now, measured: s.active}
+	s.record.arrival(s, c)
+	s.submit(c)
+}
+
+// submit sends a customer's request to a node of its zone.
+func (s *sim) submit(c *customer) {
+	r := &customerRequest{sim: s, customer: c, hash: s.random.Uint32()}
+	r.entry = s.entryNode(c.zone)
+	route := &s.site.routes[c.route]
+	r.deadline = s.now.Add(route.timeout)
+	s.after(s.site.callerDelay, func() { s.enter(r) })
+}
+
+func (s *sim) entryNode(zone int) *node {
+	for {
+		if n := s.nodes[s.random.IntN(len(s.nodes))]; n.zone == zone {
+			return n
+		}
+	}
+}
+
+func (s *sim) enter(r *customerRequest) {
+	workspace := s.site.workspaces[r.customer.workspace]
+	if s.policy.throttle && !r.entry.throttle.Allow(workspace.name, s.now, s.random) {
+		r.end(notRunOverload)
+		return
+	}
+	if s.policy.gate {
+		admitted := r.entry.gate.Admit(admission.Request{
+			Priority: r.priority(), Workspace: workspace.name, Weight: workspace.weight, Hash: r.hash,
+		}, r.entry.paths[r.customer.route], s.now)
+		if !admitted {
+			r.end(notRunOverload)
+			return
+		}
+	}
+	if s.policy.throttle {
+		r.entry.throttle.Admitted(workspace.name, s.now)
+	}
+	route := &s.site.routes[r.customer.route]
+	r.budget = retry.NewBudget(route.budget)
+	s.after(r.deadline.Sub(s.now), func() { r.end(timedOut) })
+	root := &call{request: r, spec: &route.call, from: r.entry, budget: &r.budget, done: r.end}
+	root.try()
+}
+
+// end answers the customer and cancels what still runs.
+func (r *customerRequest) end(o outcome) {
+	if r.ended {
+		return
+	}
+	r.ended, r.failed = true, !o.ok
+	if r.failed {
+		r.sim.record.wasted += r.work
+	}
+	if r.sim.policy.cancel {
+		for _, a := range slices.Clone(r.live) {
+			a.cancel()
+		}
+	}
+	r.sim.after(r.sim.site.callerDelay, func() { r.sim.answer(r, o) })
+}
+
+// answer is the customer's side: it is content, repeats or gives up.
+func (s *sim) answer(r *customerRequest, o outcome) {
+	c := r.customer
+	s.record.answered(s, c, o)
+	if o.ok {
+		return
+	}
+	workspace := s.site.workspaces[c.workspace].name
+	pause, most := r.entry.throttle.RetryAfter(workspace, s.now, s.random), politeRepeats
+	if s.scenario.hammer {
+		pause, most = hammerPause, hammerRepeats
+	}
+	if c.repeats >= most {
+		return
+	}
+	c.repeats++
+	s.after(pause, func() { s.submit(c) })
+}
--- /dev/null
+++ b/experiment/sim.go
@@ -0,0 +1,194 @@
+package experiment
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"auburngap/admission"
+	"auburngap/retry"
+)
+
+// epoch is the time at which every run starts.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// sim is one run of one policy through one scenario.
+type sim struct {
+	site     site
+	scenario scenario
+	policy   policy
+	random   *rand.Rand
+	now      time.Time
+	events   eventHeap
+	sequence uint64
+	targets  []*target
+	// nodes sit beside the targets, one each.
+	nodes   []*node
+	retries *retry.Policy
+	record  record
+	// active is true while the scenario's trigger lasts.
+	active bool
+}
+
+type event struct {
+	at       time.Time
+	sequence uint64
+	run      func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at.Equal(h[j].at) {
+		return h[i].sequence < h[j].sequence
+	}
+	return h[i].at.Before(h[j].at)
+}
+
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+func (h *eventHeap) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	(*h)[last] = event{}
+	*h = (*h)[:last]
+	return e
+}
+
+func newSim(s site, sc scenario, p policy, seed uint64) *sim {
+	run := &sim{site: s, scenario: sc, policy: p, now: epoch, random: rand.New(rand.NewPCG(seed, 1))}
+	run.retries = retry.NewPolicy(retry.Config{})
+	run.record = newRecord(&run.site, sc.length)
+	for i, service := range s.services {
+		for k := range service.targets {
+			run.targets = append(run.targets, newTarget(run, len(run.targets), i, k%s.zones))
+		}
+	}
+	for _, t := range run.targets {
+		run.nodes = append(run.nodes, newNode(run, t.zone))
+	}
+	return run
+}
+
+// after runs a function once the delay is over.
+func (s *sim) after(delay time.Duration, run func()) {
+	s.sequence++
+	heap.Push(&s.events, event{at: s.now.Add(delay), sequence: s.sequence, run: run})
+}
+
+// run plays the whole scenario.
+func (s *sim) run() {
+	rate := s.site.baseRate()
+	weights := 0.0
+	for _, w := range s.site.workspaces {
+		weights += w.weight
+	}
+	for w := range s.site.workspaces {
+		for r := range s.site.routes {
+			s.arrivals(w, r, rate*s.site.workspaces[w].weight/weights*s.site.routes[r].share)
+		}
+	}
+	s.after(warmUp, s.begin)
+	s.after(warmUp+s.scenario.length, s.end)
+	for _, t := range s.targets {
+		s.report(t)
+	}
+	end := epoch.Add(warmUp + s.scenario.length + aftermath)
+	for s.events.Len() > 0 {
+		e := heap.Pop(&s.events).(event)
+		if e.at.After(end) {
+			return
+		}
+		s.now = e.at
+		e.run()
+	}
+}
+
+// arrivals starts customers of one workspace and route at random, whether or
+// not earlier ones have been served.
+func (s *sim) arrivals(workspace, route int, rate float64) {
+	factor := 1.0
+	if s.active {
+		factor = s.scenario.factor(workspace)
+	}
+	gap := time.Duration(s.random.ExpFloat64() / (rate * factor) * float64(time.Second))
+	// A new rate takes hold within a tenth of a second.
+	const step = 100 * time.Millisecond
+	if gap > step {
+		s.after(step, func() { s.arrivals(workspace, route, rate) })
+		return
+	}
+	s.after(gap, func() {
+		s.arrive(workspace, route)
+		s.arrivals(workspace, route, rate)
+	})
+}
+
+func (s *sim) begin() {
+	s.active = true
+	deep := s.site.deepService()
+	for _, t := range s.targets {
+		if t.service == deep {
+			t.slow = s.scenario.slow
+		}
+	}
+	s.targets[0].stuck = s.scenario.stuck
+	if s.scenario.servers {
+		s.breakServers()
+	}
+}
+
+// breakServers kills the first server of service 0, restarts the first of
+// service 1 cold and drains the first of service 2.
+func (s *sim) breakServers() {
+	s.first(0).die()
+	cold := s.first(1)
+	cold.die()
+	s.after(time.Second, cold.restart)
+	drained := s.first(2)
+	drained.draining, drained.lost = true, true
+	s.after(directoryLag, func() { drained.listed = false })
+}
+
+func (s *sim) first(service int) *target {
+	for _, t := range s.targets {
+		if t.service == service {
+			return t
+		}
+	}
+	return nil
+}
+
+func (s *sim) end() {
+	s.record.best = s.bestPossible(s.scenario.length)
+	s.active = false
+	for _, t := range s.targets {
+		t.slow, t.stuck = 1, false
+		if t.draining {
+			t.draining, t.listed, t.lost = false, true, false
+		}
+		if t.dead {
+			t.restart()
+		}
+	}
+}
+
+// apart tells whether two zones cannot reach each other now.
+func (s *sim) apart(a, b int) bool {
+	return s.active && s.partOf(a) != s.partOf(b)
+}
+
+func (s *sim) delay(a, b int) time.Duration {
+	if a == b {
+		return 200 * time.Microsecond
+	}
+	return s.site.zoneDelay
+}
+
+func (s *sim) gateConfig() admission.GateConfig {
+	return admission.GateConfig{Unfair: !s.policy.fair}
+}
--- /dev/null
+++ b/experiment/site.go
@@ -0,0 +1,147 @@
+package experiment
+
+import (
+	"time"
+
+	"auburngap/request"
+)
+
+// site is the size and the call graph of one deployment.
+type site struct {
+	name  string
+	zones int
+	// zoneDelay and callerDelay are one way.
+	zoneDelay, callerDelay time.Duration
+	services               []service
+	routes                 []route
+	workspaces             []workspace
+}
+
+type service struct {
+	name                        string
+	targets, slots, connections int
+	// own is the mean time of one call without its calls to other services.
+	own time.Duration
+}
+
+// callSpec is a call with the calls that it makes, one after another or at once.
+type callSpec struct {
+	service  int
+	parallel bool
+	below    []callSpec
+}
+
+type route struct {
+	name     string
+	priority request.Priority
+	// share is the part of a workspace's requests.
+	share      float64
+	call       callSpec
+	timeout    time.Duration
+	idempotent bool
+	budget     int
+}
+
+type workspace struct {
+	name string
+	// weight is the share of a saturated service and of the demand.
+	weight float64
+}
+
+// baseUtilization is the busiest service's part of its slots at demand 1.
+const baseUtilization = 0.7
+
+func workspaces(names ...string) []workspace {
+	weights := []float64{5, 4, 3, 1, 1, 1, 1, 1}
+	list := make([]workspace, len(names))
+	for i, name := range names {
+		list[i] = workspace{name: name, weight: weights[i]}
+	}
+	return list
+}
+
+const (
+	catalogue = iota
+	orders
+	proofing
+	batches
+)
+
+func mugWorks() site {
+	return site{
+		name: "mugWorks", zones: 4, zoneDelay: 1500 * time.Microsecond, callerDelay: 8 * time.Millisecond,
+		services: []service{
+			catalogue: {"catalogue", 4, 35, 300, 40 * time.Millisecond},
+			orders:    {"orders", 4, 35, 300, 60 * time.Millisecond},
+			proofing:  {"proofing", 4, 35, 300, 150 * time.Millisecond},
+			batches:   {"batches", 4, 10, 150, 60 * time.Millisecond},
+		},
+		routes: []route{
+			{
+				name: "pay", priority: 0, share: 0.15, timeout: 2 * time.Second, budget: 2,
+				call: callSpec{service: orders, below: []callSpec{{service: catalogue}, {service: batches}}},
+			},
+			{
+				name: "track", priority: 1, share: 0.2, timeout: time.Second, idempotent: true, budget: 2,
+				call: callSpec{service: orders, below: []callSpec{{service: batches}}},
+			},
+			{
+				name: "proof", priority: 1, share: 0.2, timeout: 2 * time.Second, idempotent: true, budget: 2,
+				call: callSpec{service: proofing, parallel: true, below: []callSpec{{service: catalogue}, {service: catalogue}}},
+			},
+			{
+				name: "browse", priority: 2, share: 0.45, timeout: time.Second, idempotent: true, budget: 2,
+				call: callSpec{service: catalogue},
+			},
+		},
+		workspaces: workspaces("palermo", "catania", "messina", "school", "parish", "family", "nursery", "choir"),
+	}
+}
+
+const (
+	dictionary = iota
+	rulings
+	notices
+	pageClose
+)
+
+func styleDesk() site {
+	return site{
+		name: "styleDesk", zones: 3, zoneDelay: time.Millisecond, callerDelay: 3 * time.Millisecond,
+		services: []service{
+			dictionary: {"dictionary", 4, 70, 500, 50 * time.Millisecond},
+			rulings:    {"rulings", 4, 70, 500, 80 * time.Millisecond},
+			notices:    {"notices", 3, 75, 550, 60 * time.Millisecond},
+			pageClose:  {"pageClose", 3, 30, 300, 60 * time.Millisecond},
+		},
+		routes: []route{
+			{
+				name: "notice", priority: 0, share: 0.1, timeout: 2 * time.Second, budget: 2,
+				call: callSpec{service: notices, below: []callSpec{
+					{service: rulings, below: []callSpec{{service: dictionary}}},
+				}},
+			},
+			{
+				name: "close", priority: 0, share: 0.1, timeout: time.Second, idempotent: true, budget: 2,
+				call: callSpec{service: pageClose, parallel: true, below: []callSpec{{service: dictionary}, {service: rulings}}},
+			},
+			{
+				name: "lookup", priority: 1, share: 0.5, timeout: time.Second, idempotent: true, budget: 2,
+				call: callSpec{service: dictionary},
+			},
+			{
+				name: "ruling", priority: 2, share: 0.3, timeout: time.Second, idempotent: true, budget: 2,
+				call: callSpec{service: rulings, below: []callSpec{{service: dictionary}}},
+			},
+		},
+		workspaces: workspaces("namibian", "republikein", "windhoeker", "oshana", "erongo", "kavango", "karas", "hardap"),
+	}
+}
+
+// deepService is the service that slows down in the scenarios: the deepest.
+func (s *site) deepService() int {
+	if s.name == "mugWorks" {
+		return batches
+	}
+	return dictionary
+}
--- /dev/null
+++ b/experiment/target.go
@@ -0,0 +1,199 @@
+package experiment
+
+import (
+	"slices"
+	"time"
+
+	"auburngap/admission"
+)
+
+const (
+	// reportPeriod is how often servers report their load.
+	reportPeriod = time.Second
+	// directoryLag is how long the directory takes to tell every node of a change.
+	directoryLag = 2 * time.Second
+	// warmTime is how long a cold server takes to reach its speed.
+	warmTime = 8 * time.Second
+	// coldFactor is how much slower a server is just after its start.
+	coldFactor = 4.0
+)
+
+// target is a backend server with the limiter of the node beside it.
+type target struct {
+	sim                            *sim
+	index, service, zone           int
+	slots, connections, announced  int
+	limiter                        *admission.Limiter
+	slow                           float64
+	started                        time.Time
+	stuck, draining, dead, listed  bool
+	// lost servers do not count towards the best possible.
+	lost bool
+	// running and waiting are the calls inside the server itself.
+	running, waiting []*attempt
+	// reported is the load of the last report.
+	reported int
+	// expiry is when the limiter's queue is looked at next.
+	expiry time.Time
+	// shed watches the order of shedding.
+	shed shedOrder
+}
+
+func newTarget(s *sim, index, service, zone int) *target {
+	spec := s.site.services[service]
+	t := &target{
+		sim: s, index: index, service: service, zone: zone, slots: spec.slots, connections: spec.connections,
+		announced: spec.slots, slow: 1, started: epoch.Add(-time.Hour), listed: true,
+	}
+	t.limiter = admission.New(admission.Config{Slots: t.announced, Fixed: s.policy.fixed})
+	return t
+}
+
+// report publishes the load, again and again.
+func (s *sim) report(t *target) {
+	t.reported = len(t.running) + len(t.waiting)
+	if t.stuck {
+		t.reported = 0
+	}
+	s.after(reportPeriod, func() { s.report(t) })
+}
+
+func (t *target) die() {
+	t.dead, t.lost = true, true
+	lost := append(t.running, t.waiting...)
+	t.running, t.waiting = nil, nil
+	for _, a := range lost {
+		a.lostServer()
+	}
+	t.sim.after(directoryLag, func() { t.listed = !t.dead })
+}
+
+// restart brings a server back cold, with a new limiter.
+func (t *target) restart() {
+	t.dead, t.lost = false, false
+	t.started = t.sim.now
+	t.limiter = admission.New(admission.Config{Slots: t.announced, Fixed: t.sim.policy.fixed})
+	t.sim.after(directoryLag, func() { t.listed = !t.dead })
+}
+
+// ownTime draws how long one call takes without its calls to other services:
+// half of the mean and an exponential part.
+func (t *target) ownTime() time.Duration {
+	mean := float64(t.sim.site.services[t.service].own) * t.slow
+	if age := t.sim.now.Sub(t.started); age < warmTime {
+		mean *= coldFactor - (coldFactor-1)*age.Seconds()/warmTime.Seconds()
+	}
+	return time.Duration(mean * (0.5 + 0.5*t.sim.random.ExpFloat64()))
+}
+
+// arrive offers an attempt to the limiter, or to the server where there is none.
+func (t *target) arrive(a *attempt) {
+	if t.dead {
+		a.fail(notRunNoBackend)
+		return
+	}
+	t.sim.record.attempts++
+	if !t.sim.policy.limiter {
+		t.enter(a)
+		return
+	}
+	a.fillTicket()
+	a.limiter = t.limiter
+	verdict, changes := t.limiter.Offer(&a.ticket, t.sim.now)
+	t.apply(changes)
+	switch verdict.Action {
+	case admission.Run:
+		t.enter(a)
+	case admission.Refuse:
+		t.refuse(a, refusal(verdict.Cause))
+	case admission.Queue:
+		t.awaitExpiry()
+	}
+}
+
+func (t *target) refuse(a *attempt, outcome outcome) {
+	t.shed.refused(t.sim.now, a.call.request.priority())
+	a.fail(outcome)
+}
+
+func (t *target) apply(changes admission.Changes) {
+	started := append([]*admission.Ticket(nil), changes.Started...)
+	dropped := append([]admission.Drop(nil), changes.Dropped...)
+	for _, drop := range dropped {
+		t.refuse(drop.Ticket.Value.(*attempt), refusal(drop.Cause))
+	}
+	for _, ticket := range started {
+		t.enter(ticket.Value.(*attempt))
+	}
+}
+
+// awaitExpiry looks at the queue when its oldest ticket has waited too long.
+func (t *target) awaitExpiry() {
+	at, ok := t.limiter.NextExpiry()
+	if !ok || t.expiry.After(t.sim.now) {
+		return
+	}
+	t.expiry = at
+	t.sim.after(at.Sub(t.sim.now), func() {
+		t.apply(t.limiter.Expire(t.sim.now))
+		t.awaitExpiry()
+	})
+}
+
+// enter hands an attempt to the server: it runs, waits for a slot inside, or
+// is refused for lack of connections.
+func (t *target) enter(a *attempt) {
+	t.shed.started(t.sim.now, a.call.request.priority())
+	switch {
+	case len(t.running) < t.slots:
+		t.work(a)
+	case len(t.running)+len(t.waiting) < t.connections:
+		a.entered = t.sim.now
+		t.waiting = append(t.waiting, a)
+	default:
+		t.leave(a, admission.Refused)
+		t.refuse(a, notRunOverload)
+	}
+}
+
+func (t *target) work(a *attempt) {
+	t.running = append(t.running, a)
+	a.work(t.ownTime())
+}
+
+// release frees the server's slot and lets the next call in.
+func (t *target) release(a *attempt) {
+	t.running = remove(t.running, a)
+	t.waiting = remove(t.waiting, a)
+	if len(t.waiting) == 0 || len(t.running) >= t.slots {
+		return
+	}
+	next := t.waiting[0]
+	t.waiting = t.waiting[1:]
+	t.work(next)
+}
+
+func remove(list []*attempt, a *attempt) []*attempt {
+	if i := slices.Index(list, a); i >= 0 {
+		return slices.Delete(list, i, i+1)
+	}
+	return list
+}
+
+// leave tells the limiter that a running attempt has ended.
+func (t *target) leave(a *attempt, kind admission.Kind) {
+	if t.sim.policy.limiter {
+		t.apply(a.limiter.Finish(&a.ticket, t.sim.now, admission.Result{Kind: kind, Own: a.ownLatency()}))
+	}
+}
+
+// abandon ends an attempt that nobody waits for any more.
+func (t *target) abandon(a *attempt) {
+	if t.sim.policy.limiter {
+		changes := a.limiter.Cancel(&a.ticket, t.sim.now)
+		t.release(a)
+		t.apply(changes)
+		return
+	}
+	t.release(a)
+}
