Set the admission level by Little's law

The level followed occupancy and refusals through a multiplicative step. Now the capacity is taken outright from the limit and the time that calls hold a slot, and demand from arrivals and admitted share averaged in step.

--- a/admission/levels.go
+++ b/admission/levels.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"auburngap/request"
@@ -9,98 +10,94 @@
 const (
 	// levelWindow is the time between two decisions on the admission level.
 	levelWindow = 100 * time.Millisecond
-	// targetOccupancy keeps a few calls queued, so that no slot stands idle.
-	targetOccupancy = 1.1
-	// occupancyGain turns a deviation from the target into a change of the
-	// admitted rate in one window.
-	occupancyGain = 0.3
-	// minChange and maxChange bound the change in one window.
-	minChange, maxChange = 0.3, 1.3
-	// rateMargin bounds the admitted rate by the rate of starts under saturation.
-	rateMargin = 1.1
-	// demandGain averages the demand of a priority over windows.
-	demandGain = 0.3
+	// levelMemory is the time over which rates are averaged.
+	levelMemory = 500 * time.Millisecond
+	// rateMargin is the admitted rate as a part of the capacity: a little more
+	// than one, so that no slot stands idle; the queue sheds the rest in order.
+	rateMargin = 1.05
 	// readableShare is the least admitted share that demand is inferred from.
 	readableShare = 1.0 / 32
+	// readableRate is the least departures a window that capacity is inferred from.
+	readableRate = 0.05
 )
 
 // levels decides the admission level of one backend server: the rate that it
-// can serve, filled with its priorities' demand from the most important down.
+// can serve, by Little's law from its limit and how long calls hold a slot,
+// filled with the priorities' demand from the most important down.
 type levels struct {
 	level uint16
-	// admitted is the rate to admit, demand the rate asked for, a window each.
-	admitted float64
-	demand   [request.Priorities]float64
+	// averages hold the recent past, a window each.
+	averages levelCounts
+	// share is the average admitted share, in step with averages.arrivals.
+	share [request.Priorities]float64
+	// demand is what would arrive without shedding.
+	demand [request.Priorities]float64
 
 	windowEnd, last time.Time
-	arrivals        [request.Priorities]int
-	starts, refuses int
-	// area is occupancy times seconds.
-	area float64
+	window          levelCounts
 }
 
-func newLevels() levels {
-	return levels{level: FullLevel}
+// levelCounts are what is counted in one window.
+type levelCounts struct {
+	arrivals   [request.Priorities]float64
+	departures float64
+	// held is the number of slots in use times seconds.
+	held float64
 }
 
-func (l *levels) offered(priority request.Priority) { l.arrivals[priority]++ }
+func newLevels() levels {
+	l := levels{level: FullLevel}
+	for priority := range l.share {
+		l.share[priority] = 1
+	}
+	return l
+}
 
-func (l *levels) started() { l.starts++ }
+func (l *levels) offered(priority request.Priority) { l.window.arrivals[priority]++ }
 
-func (l *levels) refused() { l.refuses++ }
+func (l *levels) departed() { l.window.departures++ }
 
-// advance accounts for the occupancy up to now and ends the window when it is due.
-func (l *levels) advance(now time.Time, occupancy float64) {
+// advance accounts for the slots in use up to now and ends the window when it is due.
+func (l *levels) advance(now time.Time, inFlight, limit int) {
 	if l.last.IsZero() {
 		l.last, l.windowEnd = now, now.Add(levelWindow)
 		return
 	}
-	l.area += occupancy * now.Sub(l.last).Seconds()
+	l.window.held += float64(inFlight) * now.Sub(l.last).Seconds()
 	l.last = now
 	if now.Before(l.windowEnd) {
 		return
 	}
-	length := now.Sub(l.windowEnd) + levelWindow
-	l.endWindow(l.area/length.Seconds(), length)
+	l.endWindow(now.Sub(l.windowEnd)+levelWindow, limit)
 	l.windowEnd = now.Add(levelWindow)
 }
 
-func (l *levels) endWindow(occupancy float64, length time.Duration) {
-	scale := float64(levelWindow) / float64(length)
-	total := l.averageDemand(scale)
-	change := 1 + occupancyGain*(targetOccupancy-occupancy)
-	if total > 0 {
-		change -= min(1, float64(l.refuses)*scale/total)
-	}
-	l.admitted *= min(max(change, minChange), maxChange)
-	if occupancy >= 1 {
-		l.admitted = min(l.admitted, max(1, rateMargin*float64(l.starts)*scale))
-	}
-	if l.level == FullLevel && l.refuses == 0 && occupancy < targetOccupancy {
-		l.admitted = max(l.admitted, maxChange*total)
-	}
-	l.admitted = min(l.admitted, maxChange*max(1, total))
-	l.level = l.fill()
-	l.arrivals, l.starts, l.refuses, l.area = [request.Priorities]int{}, 0, 0, 0
-}
-
-// averageDemand updates each priority's demand before shedding and returns the sum.
-func (l *levels) averageDemand(scale float64) float64 {
-	total := 0.0
-	for priority := range l.demand {
-		share := admittedShare(l.level, request.Priority(priority))
-		if share >= readableShare {
-			seen := float64(l.arrivals[priority]) * scale / share
-			l.demand[priority] += demandGain * (seen - l.demand[priority])
+func (l *levels) endWindow(length time.Duration, limit int) {
+	keep := math.Exp(-length.Seconds() / levelMemory.Seconds())
+	gain := (1 - keep) * float64(levelWindow) / float64(length)
+	a := &l.averages
+	a.departures = keep*a.departures + gain*l.window.departures
+	a.held = keep*a.held + gain*l.window.held
+	for priority := range a.arrivals {
+		a.arrivals[priority] = keep*a.arrivals[priority] + gain*l.window.arrivals[priority]
+		admitted := admittedShare(l.level, request.Priority(priority))
+		l.share[priority] = keep*l.share[priority] + (1-keep)*admitted
+		if l.share[priority] >= readableShare {
+			l.demand[priority] = a.arrivals[priority] / l.share[priority]
 		}
-		total += l.demand[priority]
 	}
-	return total
+	l.window = levelCounts{}
+	if a.departures < readableRate {
+		l.level = FullLevel
+		return
+	}
+	capacity := float64(limit) * levelWindow.Seconds() * a.departures / a.held
+	l.level = l.fill(rateMargin * capacity)
 }
 
-// fill returns the level at which the demand adds up to the admitted rate.
-func (l *levels) fill() uint16 {
-	left := l.admitted
+// fill returns the level at which the demand adds up to the rate.
+func (l *levels) fill(rate float64) uint16 {
+	left := rate
 	for priority, demand := range l.demand {
 		if left < demand {
 			part := uint16(left / demand * LevelsPerPriority)
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -12,8 +12,9 @@
 	latencyTolerance = 1.5
 	// trialCut is the part of the limit that a trial takes away.
 	trialCut = 0.25
-	// growth is the part by which a limit that is in use grows in one window.
-	growth = 0.1
+	// growth is the part by which a limit that is in use grows in one window;
+	// startGrowth is that before the first sign of overload.
+	growth, startGrowth = 0.1, 0.5
 	// refusalTolerance is the part of calls that a server may refuse unanswered.
 	refusalTolerance = 0.01
 	// refusalCut is the part of the limit that refusals take away at least.
@@ -34,6 +35,9 @@
 	// mean is the latency of the last window.
 	mean time.Duration
 
+	// settled is true once the limit has had to shrink.
+	settled bool
+
 	trial trial
 	window
 }
@@ -130,11 +134,17 @@
 }
 
 func (l *concurrencyLimit) grow() {
-	if l.saturated {
-		l.current = min(l.ceiling, l.current+max(1, growth*l.current))
+	if !l.saturated {
+		return
+	}
+	part := startGrowth
+	if l.settled {
+		part = growth
 	}
+	l.current = min(l.ceiling, l.current+max(1, part*l.current))
 }
 
 func (l *concurrencyLimit) shrink(part float64) {
+	l.settled = true
 	l.current = max(l.floor, l.current*(1-part))
 }
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -83,7 +83,6 @@
 	t.offered = now
 	l.expire(now)
 	if t.missesDeadline(now, l.expectedWait()+l.expectedLatency()) {
-		l.levels.refused()
 		return Verdict{Action: Refuse, Cause: request.CauseDeadline}, l.changes()
 	}
 	l.shares.charge(t)
@@ -94,7 +93,6 @@
 	l.limit.saturated = true
 	if !l.makeRoom(t) {
 		l.shares.refund(t)
-		l.levels.refused()
 		return Verdict{Action: Refuse, Cause: request.CauseOverload}, l.changes()
 	}
 	t.state = ticketQueued
@@ -158,12 +156,12 @@
 
 // Level returns the admission level to send back with answers.
 func (l *Limiter) Level(now time.Time) uint16 {
-	l.levels.advance(now, l.occupancy())
+	l.levels.advance(now, l.inFlight, l.limit.value())
 	return l.levels.level
 }
 
 func (l *Limiter) begin(now time.Time) {
-	l.levels.advance(now, l.occupancy())
+	l.levels.advance(now, l.inFlight, l.limit.value())
 	l.started = l.started[:0]
 	l.dropped = l.dropped[:0]
 }
@@ -172,11 +170,6 @@
 	return Changes{Started: l.started, Dropped: l.dropped}
 }
 
-// occupancy returns running and queued calls as a part of the limit.
-func (l *Limiter) occupancy() float64 {
-	return float64(l.inFlight+l.queue.len()) / float64(l.limit.value())
-}
-
 // makeRoom sheds the queue's last ticket if t goes before it, and tells
 // whether t may be queued.
 func (l *Limiter) makeRoom(t *Ticket) bool {
@@ -217,7 +210,6 @@
 
 func (l *Limiter) run(t *Ticket, now time.Time) {
 	l.shares.serve(t)
-	l.levels.started()
 	t.state = ticketRunning
 	t.started = now
 	l.inFlight++
@@ -228,7 +220,6 @@
 
 func (l *Limiter) drop(t *Ticket, cause request.Cause) {
 	l.unqueue(t)
-	l.levels.refused()
 	l.dropped = append(l.dropped, Drop{Ticket: t, Cause: cause})
 }
 
@@ -240,6 +231,7 @@
 
 func (l *Limiter) free(t *Ticket) {
 	l.inFlight--
+	l.levels.departed()
 	l.shares.release(t)
 	t.state = ticketIdle
 }
