Measure recovery by goodput and hold rates in the greedy scenario

Recovery counted first requests alone, which the repeats of customers refused during the trigger keep waiting; goodput is what the users measure. Both are now shown.

--- a/admission/fairrate.go
+++ b/admission/fairrate.go
@@ -71,12 +71,15 @@
 	last time.Time
 }
 
-// arrive averages the rate exponentially over the window.
-func (d *demand) arrive(now time.Time, window time.Duration) {
-	gap := max(now.Sub(d.last).Seconds(), 1e-6)
+// arrive counts a request and returns the rate before it, averaged
+// exponentially over the window. With the request itself the rate of a rare
+// caller would read too high each time that it is looked at.
+func (d *demand) arrive(now time.Time, window time.Duration) float64 {
+	age := now.Sub(d.last)
 	d.last = now
-	keep := math.Exp(-gap / window.Seconds())
-	d.rate = (1-keep)/gap + keep*d.rate
+	before := d.rate * math.Exp(-age.Seconds()/window.Seconds())
+	d.rate = before + 1/window.Seconds()
+	return before
 }
 
 // demandIdle is when a demand without arrivals is forgotten.
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -144,12 +144,12 @@
 		return hashPart(r.Hash) < share
 	}
 	d := g.demandOf(demandKey{workspace: r.Workspace, service: service, priority: r.Priority}, now)
-	d.arrive(now, g.config.RateWindow)
+	rate := d.arrive(now, g.config.RateWindow)
 	weight := r.Weight
 	if weight <= 0 {
 		weight = 1
 	}
-	part := s.shares[r.Priority].part(now, share, d.rate/weight)
+	part := s.shares[r.Priority].part(now, share, rate/weight)
 	return hashPart(r.Hash) < part
 }
 
--- a/experiment/best.go
+++ b/experiment/best.go
@@ -177,6 +177,9 @@
 					came += s.record.came[w][r][zone]
 				}
 			}
+			if s.scenario.rates {
+				came = min(came, int(s.buckets[w].rate*(length+burstTime).Seconds()*s.site.routes[r].share))
+			}
 			streams = append(streams, stream{workspace: w, route: r, weight: workspace.weight * s.site.routes[r].share, demand: float64(came) / length.Seconds()})
 		}
 	}
--- a/experiment/call.go
+++ b/experiment/call.go
@@ -26,10 +26,10 @@
 	target *target
 	ticket admission.Ticket
 	// limiter is the one that the ticket was offered to.
-	limiter *admission.Limiter
-	budget retry.Budget
-	lent   int
-	ended  bool
+	limiter            *admission.Limiter
+	budget             retry.Budget
+	lent               int
+	ended              bool
 	entered, workStart time.Time
 	workTime, own      time.Duration
 	working            bool
--- a/experiment/plot.go
+++ b/experiment/plot.go
@@ -11,11 +11,7 @@
 func (r *record) goodput() []float64 {
 	list := make([]float64, 0, len(r.bins))
 	for _, b := range r.bins[:len(r.bins)-1] {
-		sum := 0
-		for _, n := range b.completed {
-			sum += n
-		}
-		list = append(list, float64(sum)/binLength.Seconds())
+		list = append(list, float64(b.served())/binLength.Seconds())
 	}
 	return list
 }
--- a/experiment/record.go
+++ b/experiment/record.go
@@ -35,6 +35,15 @@
 	completed [request.Priorities]int
 }
 
+// served counts the answers that reached customers.
+func (b bin) served() int {
+	sum := 0
+	for _, n := range b.completed {
+		sum += n
+	}
+	return sum
+}
+
 func newRecord(s *site, length time.Duration) record {
 	r := record{gotWorkspace: make([]int, len(s.workspaces))}
 	for range s.workspaces {
--- a/experiment/request.go
+++ b/experiment/request.go
@@ -94,6 +94,10 @@
 
 func (s *sim) enter(r *customerRequest) {
 	workspace := s.site.workspaces[r.customer.workspace]
+	if s.policy.gate && s.scenario.rates && !s.buckets[r.customer.workspace].take(s.now) {
+		r.end(refusal(request.CauseRate))
+		return
+	}
 	if s.policy.throttle && !r.entry.throttle.Allow(workspace.name, s.now, s.random) {
 		r.end(notRunOverload)
 		return
--- a/experiment/sim.go
+++ b/experiment/sim.go
@@ -26,6 +26,8 @@
 	nodes   []*node
 	retries *retry.Policy
 	record  record
+	// buckets hold the workspaces to their rates, in the place of package share.
+	buckets []bucket
 	// active is true while the scenario's trigger lasts.
 	active bool
 }
@@ -88,6 +90,7 @@
 		weights += w.weight
 	}
 	for w := range s.site.workspaces {
+		s.buckets = append(s.buckets, newBucket(rateShare*rate*s.site.workspaces[w].weight/weights))
 		for r := range s.site.routes {
 			s.arrivals(w, r, rate*s.site.workspaces[w].weight/weights*s.site.routes[r].share)
 		}
@@ -192,3 +195,23 @@
 func (s *sim) gateConfig() admission.GateConfig {
 	return admission.GateConfig{Unfair: !s.policy.fair}
 }
+
+// bucket is a token bucket over all nodes.
+type bucket struct {
+	rate, tokens float64
+	last         time.Time
+}
+
+func newBucket(rate float64) bucket {
+	return bucket{rate: rate, tokens: rate * burstTime.Seconds(), last: epoch}
+}
+
+func (b *bucket) take(now time.Time) bool {
+	b.tokens = min(b.rate*burstTime.Seconds(), b.tokens+b.rate*now.Sub(b.last).Seconds())
+	b.last = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- a/experiment/table.go
+++ b/experiment/table.go
@@ -20,6 +20,7 @@
 	{"goodput %", true, 1, func(f Figures) float64 { return f.GoodputAll }},
 	{"top %", true, 1, func(f Figures) float64 { return f.GoodputTop }},
 	{"recovery s", false, 1, func(f Figures) float64 { return f.RecoverySeconds }},
+	{"calm s", false, 1, func(f Figures) float64 { return f.CalmSeconds }},
 	{"worst served %", true, 1, func(f Figures) float64 { return f.WorstServed }},
 	{"wrongful %", true, 2, func(f Figures) float64 { return f.Wrongful }},
 	{"attempts", false, 2, func(f Figures) float64 { return f.AttemptsPerRequest }},
--- a/experiment/target.go
+++ b/experiment/target.go
@@ -20,13 +20,13 @@
 
 // target is a backend server with the limiter of the node beside it.
 type target struct {
-	sim                            *sim
-	index, service, zone           int
-	slots, connections, announced  int
-	limiter                        *admission.Limiter
-	slow                           float64
-	started                        time.Time
-	stuck, draining, dead, listed  bool
+	sim                           *sim
+	index, service, zone          int
+	slots, connections, announced int
+	limiter                       *admission.Limiter
+	slow                          float64
+	started                       time.Time
+	stuck, draining, dead, listed bool
 	// lost servers do not count towards the best possible.
 	lost bool
 	// running and waiting are the calls inside the server itself.
