Order the queue by fair share before the request's hash

The queue gave each ticket a head start by its hash, so that all hops pick the same victims. In virtual time the head start grew as a workspace's weight shrank: small workspaces fell behind in the queue. The hash now breaks ties alone; the gate's choice by hash stays.

--- a/admission/flow.go
+++ b/admission/flow.go
@@ -1,14 +1,6 @@
 package admission
 
-import (
-	"math"
-
-	"auburngap/request"
-)
-
-// hashSpread is how many places of its own workspace's queue separate the
-// request hashes that are served first from those that are shed first.
-const hashSpread = 4
+import "auburngap/request"
 
 // flow is one workspace's use of a limiter, in virtual time.
 type flow struct {
@@ -43,8 +35,7 @@
 	t.flow.tickets++
 	start := max(f.clock[t.Priority], t.flow.finish[t.Priority])
 	t.flow.finish[t.Priority] = start + 1/t.weight()
-	preference := float64(t.Hash) / math.MaxUint32 * hashSpread
-	t.key = queueKey{class: t.class(), tag: start + preference/t.weight()}
+	t.key = queueKey{class: t.class(), tag: start, hash: t.Hash}
 }
 
 // serve moves the virtual clock on as a ticket starts.
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -1,16 +1,21 @@
 package admission
 
-// queueKey orders queued tickets: the class first, then the fair share's tag.
+// queueKey orders queued tickets: the class first, then the fair share's tag,
+// then the request's hash.
 type queueKey struct {
 	class int
 	tag   float64
+	hash  uint32
 }
 
 func (k queueKey) before(other queueKey) bool {
 	if k.class != other.class {
 		return k.class < other.class
 	}
-	return k.tag < other.tag
+	if k.tag != other.tag {
+		return k.tag < other.tag
+	}
+	return k.hash < other.hash
 }
 
 // queue holds tickets by key from both ends and by age.
