--- a/experiment/best.go
+++ b/experiment/best.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"auburngap/request"
@@ -14,13 +15,13 @@
 	served           float64
 }
 
-// holding returns how long a call holds its slot, and adds the slot seconds of
+// holding draws how long a call holds its slot, and adds the slot seconds of
 // the call and those below it to cost.
-func (s *site) holding(call *callSpec, slow []float64, cost []float64) float64 {
-	total := s.services[call.service].own.Seconds() * slow[call.service]
+func (s *site) holding(call *callSpec, slow []float64, cost []float64, random *rand.Rand) float64 {
+	total := s.services[call.service].own.Seconds() * slow[call.service] * drawOwn(random)
 	longest := 0.0
 	for i := range call.below {
-		below := s.holding(&call.below[i], slow, cost) + 2*s.zoneDelay.Seconds()
+		below := s.holding(&call.below[i], slow, cost, random) + 2*s.zoneDelay.Seconds()
 		longest = max(longest, below)
 		if !call.parallel {
 			total += below
@@ -33,12 +34,27 @@
 	return total
 }
 
+// drawOwn draws a service time with mean 1: half fixed, half exponential.
+func drawOwn(random *rand.Rand) float64 {
+	return 0.5 + 0.5*random.ExpFloat64()
+}
+
+// costDraws is the number of draws that a mean cost is taken from: calls made
+// at once end with the slowest, which no mean of each tells.
+const costDraws = 20_000
+
 // costs returns the slot seconds of one request by route and service.
 func (s *site) costs(slow []float64) [][]float64 {
+	random := rand.New(rand.NewPCG(1, 1))
 	table := make([][]float64, len(s.routes))
 	for i := range s.routes {
 		table[i] = make([]float64, len(s.services))
-		s.holding(&s.routes[i].call, slow, table[i])
+		for range costDraws {
+			s.holding(&s.routes[i].call, slow, table[i], random)
+		}
+		for service := range table[i] {
+			table[i][service] /= costDraws
+		}
 	}
 	return table
 }
--- a/experiment/target.go
+++ b/experiment/target.go
@@ -76,14 +76,13 @@
 	t.sim.after(directoryLag, func() { t.listed = !t.dead })
 }
 
-// ownTime draws how long one call takes without its calls to other services:
-// half of the mean and an exponential part.
+// ownTime draws how long one call takes without its calls to other services.
 func (t *target) ownTime() time.Duration {
 	mean := float64(t.sim.site.services[t.service].own) * t.slow
 	if age := t.sim.now.Sub(t.started); age < warmTime {
 		mean *= coldFactor - (coldFactor-1)*age.Seconds()/warmTime.Seconds()
 	}
-	return time.Duration(mean * (0.5 + 0.5*t.sim.random.ExpFloat64()))
+	return time.Duration(mean * drawOwn(t.sim.random))
 }
 
 // arrive offers an attempt to the limiter, or to the server where there is none.
