Drop the throttle of refused callers

It refuses at random what the gate would have admitted by priority and hash, and opens only as fast as successes come back.

Repeats still cost their own workspace alone, because the gate counts them as its demand.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -1,6 +1,6 @@
 // Package admission decides which work runs under overload: beside a backend
-// server the Limiter guards its slots, at the entry node the Gate sheds whole
-// requests early, and the Throttle holds back callers whose repeats are refused.
+// server the Limiter guards its slots, and at the entry node the Gate sheds
+// whole requests early.
 //
 // # Usage
 //
--- a/admission/bench_test.go
+++ b/admission/bench_test.go
@@ -91,20 +91,3 @@
 		})
 	}
 }
-
-// BenchmarkThrottle times one request of a caller whose requests are mostly refused.
-func BenchmarkThrottle(b *testing.B) {
-	for _, size := range benchSizes {
-		b.Run(fmt.Sprintf("workspaces=%d", size), func(b *testing.B) {
-			names := workspaceNames(size)
-			throttle := NewThrottle(ThrottleConfig{})
-			random := rand.New(rand.NewPCG(1, 2))
-			now := epoch
-			b.ReportAllocs()
-			for b.Loop() {
-				now = now.Add(100 * time.Microsecond)
-				throttle.Allow(names[random.IntN(size)], now, random)
-			}
-		})
-	}
-}
--- a/experiment/node.go
+++ b/experiment/node.go
@@ -12,7 +12,6 @@
 	sim      *sim
 	zone     int
 	gate     *admission.Gate
-	throttle *admission.Throttle
 	services []admission.ServiceID
 	// paths lists the services of each route's call graph.
 	paths [][]admission.ServiceID
@@ -36,7 +35,6 @@
 
 func newNode(s *sim, zone int) *node {
 	n := &node{sim: s, zone: zone, gate: admission.NewGate(s.gateConfig()), views: make([]view, len(s.targets))}
-	n.throttle = admission.NewThrottle(admission.ThrottleConfig{})
 	for _, service := range s.site.services {
 		n.services = append(n.services, n.gate.Service(service.name))
 	}
--- a/experiment/policy.go
+++ b/experiment/policy.go
@@ -11,8 +11,6 @@
 	gate           bool
 	// fair shares a saturated service among workspaces at gate and limiter.
 	fair bool
-	// throttle holds back callers whose requests are refused.
-	throttle bool
 	// budget bounds the retries of a request; without it each hop retries plainly.
 	budget bool
 	// hopRetries is the number of plain retries at each hop.
@@ -27,7 +25,7 @@
 // mechanisms that a further policy, the previous version, goes without.
 func policies(off string) []policy {
 	full := policy{
-		name: "full", limiter: true, gate: true, fair: true, throttle: true, budget: true, cancel: true, measured: true,
+		name: "full", limiter: true, gate: true, fair: true, budget: true, cancel: true, measured: true,
 	}
 	list := []policy{
 		{name: "none"},
@@ -48,8 +46,6 @@
 			previous.gate = false
 		case "fair":
 			previous.fair = false
-		case "throttle":
-			previous.throttle = false
 		case "budget":
 			previous.budget = false
 			previous.hopRetries = 2
--- a/experiment/request.go
+++ b/experiment/request.go
@@ -45,6 +45,8 @@
 const (
 	// politeRepeats and hammerRepeats bound a customer's repeats.
 	politeRepeats, hammerRepeats = 1, 10
+	// retryAfter is the shortest wait that refused callers are asked for.
+	retryAfter = time.Second
 	// hammerPause is the pause of a caller that repeats at once.
 	hammerPause = 20 * time.Millisecond
 )
@@ -98,10 +100,6 @@
 		r.end(refusal(request.CauseRate))
 		return
 	}
-	if s.policy.throttle && !r.entry.throttle.Allow(workspace.name, s.now, s.random) {
-		r.end(notRunOverload)
-		return
-	}
 	if s.policy.gate {
 		admitted := r.entry.gate.Admit(admission.Request{
 			Priority: r.priority(), Workspace: workspace.name, Weight: workspace.weight, Hash: r.hash,
@@ -111,9 +109,6 @@
 			return
 		}
 	}
-	if s.policy.throttle {
-		r.entry.throttle.Admitted(workspace.name, s.now)
-	}
 	route := &s.site.routes[r.customer.route]
 	r.budget = retry.NewBudget(route.budget)
 	s.after(r.deadline.Sub(s.now), func() { r.end(timedOut) })
@@ -145,8 +140,7 @@
 	if o.ok {
 		return
 	}
-	workspace := s.site.workspaces[c.workspace].name
-	pause, most := r.entry.throttle.RetryAfter(workspace, s.now, s.random), politeRepeats
+	pause, most := admission.RetryAfter(retryAfter, s.random), politeRepeats
 	if s.scenario.hammer {
 		pause, most = hammerPause, hammerRepeats
 	}
