Let the queue wait as long as one call takes

The sojourn bound of 50 ms is a sixth of a call's time when the deep service of the mug works is 5x slower: with ten slots the queue ran empty between two calls that ended, and refused in bursts (in flight 31 to 36 of 40).

--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -151,7 +151,7 @@
 	if l.queue.oldest == nil {
 		return time.Time{}, false
 	}
-	return l.queue.oldest.offered.Add(l.config.MaxSojourn), true
+	return l.queue.oldest.offered.Add(l.maxSojourn()), true
 }
 
 // Level returns the admission level to send back with answers.
@@ -203,7 +203,7 @@
 }
 
 func (l *Limiter) expire(now time.Time) {
-	for t := l.queue.oldest; t != nil && now.Sub(t.offered) >= l.config.MaxSojourn; t = l.queue.oldest {
+	for t := l.queue.oldest; t != nil && now.Sub(t.offered) >= l.maxSojourn(); t = l.queue.oldest {
 		l.drop(t, request.CauseOverload)
 	}
 }
@@ -249,3 +249,10 @@
 func (l *Limiter) expectedWait() time.Duration {
 	return time.Duration(float64(l.queue.len()) * float64(l.limit.mean) / l.limit.current)
 }
+
+// maxSojourn is the longest wait in the queue. Where calls take longer than
+// the configured bound it is half of a call's time: a shorter queue could not
+// bridge the gap between two calls that end.
+func (l *Limiter) maxSojourn() time.Duration {
+	return max(l.config.MaxSojourn, l.limit.mean)
+}
