--- a/admission/admission.go
+++ b/admission/admission.go
@@ -26,7 +26,7 @@
 )
 
 // LevelsPerPriority divides a priority into admission levels.
-const LevelsPerPriority = 256
+const LevelsPerPriority = 4096
 
 // FullLevel is the admission level that admits every request.
 const FullLevel = uint16(request.Priorities) * LevelsPerPriority
--- a/admission/bench_test.go
+++ b/admission/bench_test.go
@@ -84,7 +84,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				now = now.Add(100 * time.Microsecond)
-				gate.Learn(services[1], 300, now)
+				gate.Learn(services[1], FullLevel/3, now)
 				r.Workspace, r.Hash = names[random.IntN(size)], random.Uint32()
 				gate.Admit(r, services, now)
 			}
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -33,9 +33,9 @@
 func TestGateLevelDecaysWithoutSignals(t *testing.T) {
 	gate := NewGate(GateConfig{})
 	service := gate.Service("orders")
-	gate.Learn(service, 256, epoch)
-	assert.Equal(t, gate.Level(service, epoch.Add(time.Second)), uint16(256))
-	assert.Equal(t, gate.Level(service, epoch.Add(2*time.Second)), uint16(640))
+	gate.Learn(service, LevelsPerPriority, epoch)
+	assert.Equal(t, gate.Level(service, epoch.Add(time.Second)), uint16(LevelsPerPriority))
+	assert.Equal(t, gate.Level(service, epoch.Add(2*time.Second)), (LevelsPerPriority+FullLevel)/2)
 	assert.Equal(t, gate.Level(service, epoch.Add(3*time.Second)), FullLevel)
 	assert.Assert(t, !gate.Overloaded(service, epoch.Add(3*time.Second)))
 }
--- a/admission/levels.go
+++ b/admission/levels.go
@@ -16,7 +16,7 @@
 	// than one, so that no slot stands idle; the queue sheds the rest in order.
 	rateMargin = 1.05
 	// readableShare is the least admitted share that demand is inferred from.
-	readableShare = 1.0 / 32
+	readableShare = 1.0 / 1024
 	// readableRate is the least departures a window that capacity is inferred from.
 	readableRate = 0.05
 )
