--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -83,7 +83,6 @@
 	t.offered = now
 	l.expire(now)
 	if t.missesDeadline(now, l.expectedWait()+l.expectedLatency()) {
-		l.levels.refused()
 		return Verdict{Action: Refuse, Cause: request.CauseDeadline}, l.changes()
 	}
 	l.shares.charge(t)
@@ -94,7 +93,6 @@
 	l.limit.saturated = true
 	if !l.makeRoom(t) {
 		l.shares.refund(t)
-		l.levels.refused()
 		return Verdict{Action: Refuse, Cause: request.CauseOverload}, l.changes()
 	}
 	t.state = ticketQueued
@@ -153,17 +151,17 @@
 	if l.queue.oldest == nil {
 		return time.Time{}, false
 	}
-	return l.queue.oldest.offered.Add(l.config.MaxSojourn), true
+	return l.queue.oldest.offered.Add(l.maxSojourn()), true
 }
 
 // Level returns the admission level to send back with answers.
 func (l *Limiter) Level(now time.Time) uint16 {
-	l.levels.advance(now, l.occupancy())
+	l.levels.advance(now, l.inFlight, l.limit.value())
 	return l.levels.level
 }
 
 func (l *Limiter) begin(now time.Time) {
-	l.levels.advance(now, l.occupancy())
+	l.levels.advance(now, l.inFlight, l.limit.value())
 	l.started = l.started[:0]
 	l.dropped = l.dropped[:0]
 }
@@ -172,11 +170,6 @@
 	return Changes{Started: l.started, Dropped: l.dropped}
 }
 
-// occupancy returns running and queued calls as a part of the limit.
-func (l *Limiter) occupancy() float64 {
-	return float64(l.inFlight+l.queue.len()) / float64(l.limit.value())
-}
-
 // makeRoom sheds the queue's last ticket if t goes before it, and tells
 // whether t may be queued.
 func (l *Limiter) makeRoom(t *Ticket) bool {
@@ -210,14 +203,13 @@
 }
 
 func (l *Limiter) expire(now time.Time) {
-	for t := l.queue.oldest; t != nil && now.Sub(t.offered) >= l.config.MaxSojourn; t = l.queue.oldest {
+	for t := l.queue.oldest; t != nil && now.Sub(t.offered) >= l.maxSojourn(); t = l.queue.oldest {
 		l.drop(t, request.CauseOverload)
 	}
 }
 
 func (l *Limiter) run(t *Ticket, now time.Time) {
 	l.shares.serve(t)
-	l.levels.started()
 	t.state = ticketRunning
 	t.started = now
 	l.inFlight++
@@ -228,7 +220,6 @@
 
 func (l *Limiter) drop(t *Ticket, cause request.Cause) {
 	l.unqueue(t)
-	l.levels.refused()
 	l.dropped = append(l.dropped, Drop{Ticket: t, Cause: cause})
 }
 
@@ -240,6 +231,7 @@
 
 func (l *Limiter) free(t *Ticket) {
 	l.inFlight--
+	l.levels.departed()
 	l.shares.release(t)
 	t.state = ticketIdle
 }
@@ -257,3 +249,10 @@
 func (l *Limiter) expectedWait() time.Duration {
 	return time.Duration(float64(l.queue.len()) * float64(l.limit.mean) / l.limit.current)
 }
+
+// maxSojourn is the longest wait in the queue. Where calls take longer than
+// the configured bound it is half of a call's time: a shorter queue could not
+// bridge the gap between two calls that end.
+func (l *Limiter) maxSojourn() time.Duration {
+	return max(l.config.MaxSojourn, l.limit.mean)
+}
