Guard backend servers, shed at the entry, retry within the budget

The node hands its decisions to admission, route and retry: a limiter beside the backend server, a gate at the entry node that learns from the levels which come back along the path, a picker per service, and a retry budget lent to each attempt and returned with its report. A report now also counts the calls made below, so that the bound on attempts holds at any depth.

--- a/backend/server.go
+++ b/backend/server.go
@@ -127,10 +127,10 @@
 		s.refuse(ctx, cause)
 		return
 	}
-	share := live.TakeRetries()
-	call.Context = live.Call.Context.Child(share)
+	lent := live.Lend(time.Now())
+	call.Context = live.Call.Context.Child(lent)
 	call.Context.Deadline = s.deadline(ctx, live, call.Service)
-	exchange := httpconn.Exchange{Next: &returning{next: s.config.Next, live: live, share: share}}
+	exchange := httpconn.Exchange{Next: &returning{next: s.config.Next, live: live, lent: lent}}
 	exchange.Run(live.Context, ctx, call)
 }
 
@@ -225,28 +225,22 @@
 
 // returning gives back the retries that a further call has not spent.
 type returning struct {
-	next  request.Handler
-	live  *LiveCall
-	share int
+	next request.Handler
+	live *LiveCall
+	lent int
 }
 
 // Serve implements request.Handler.
 func (r *returning) Serve(ctx context.Context, call *request.Call) (*request.Answer, error) {
 	answer, err := r.next.Serve(ctx, call)
 	if err != nil {
-		r.live.Return(r.bounded(request.AsRefusal(err).Report))
+		r.live.Return(r.lent, request.AsRefusal(err).Report, time.Now())
 		return nil, err
 	}
 	answer.Body = &returningBody{ReadCloser: answer.Body, returning: r, report: answer.Report}
 	return answer, nil
 }
 
-// bounded never gives back more than was handed out.
-func (r *returning) bounded(report request.Report) request.Report {
-	report.UnspentRetries = min(max(report.UnspentRetries, 0), r.share)
-	return report
-}
-
 type returningBody struct {
 	io.ReadCloser
 	returning *returning
@@ -256,9 +250,11 @@
 
 // Close implements io.Closer.
 func (b *returningBody) Close() error {
-	if !b.closed && b.report != nil {
-		b.closed = true
-		b.returning.live.Return(b.returning.bounded(b.report()))
+	if b.closed {
+		return nil
 	}
-	return b.ReadCloser.Close()
+	b.closed = true
+	err := b.ReadCloser.Close()
+	b.returning.live.Return(b.returning.lent, b.report(), time.Now())
+	return err
 }
--- a/backend/tokens.go
+++ b/backend/tokens.go
@@ -5,9 +5,10 @@
 	"crypto/rand"
 	"encoding/hex"
 	"sync"
-	"sync/atomic"
+	"time"
 
 	"auburngap/request"
+	"auburngap/retry"
 )
 
 // tokenBytes is the length of a token's random part.
@@ -22,39 +23,52 @@
 	Context context.Context
 	Call    *request.Call
 
-	retries atomic.Int64
-	mu      sync.Mutex
-	loads   []request.ServiceLoad
+	mu     sync.Mutex
+	budget retry.Budget
+	loads  []request.ServiceLoad
+	calls  int
+	// waiting is the number of calls under way, since the time of the first.
+	waiting   int
+	since     time.Time
+	timeBelow time.Duration
 }
 
-// TakeRetries takes half of the retry budget that is left, rounded up, for one
-// further call.
-func (l *LiveCall) TakeRetries() int {
-	for {
-		left := l.retries.Load()
-		share := (left + 1) / 2
-		if l.retries.CompareAndSwap(left, left-share) {
-			return int(share)
-		}
+// Lend takes the share of the retry budget that goes with one further call.
+func (l *LiveCall) Lend(now time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.waiting == 0 {
+		l.since = now
 	}
+	l.waiting++
+	l.calls++
+	return l.budget.Lend()
 }
 
-// Return gives back what a further call has not spent, and notes its loads.
-func (l *LiveCall) Return(report request.Report) {
-	l.retries.Add(int64(report.UnspentRetries))
-	if len(report.Loads) == 0 {
-		return
-	}
+// Return takes back what a further call has not spent, and notes its report.
+func (l *LiveCall) Return(lent int, report request.Report, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.loads = append(l.loads, report.Loads...)
+	l.waiting--
+	if l.waiting == 0 {
+		l.timeBelow += now.Sub(l.since)
+	}
+	l.calls += report.CallsBelow
+	l.budget.Return(lent, report.UnspentRetries)
+	l.loads = request.MergeLoads(l.loads, report.Loads)
 }
 
-// Report returns the retries left and the loads seen by the calls made so far.
+// Report returns what is left of the retry budget and what the calls made so
+// far have shown.
 func (l *LiveCall) Report() request.Report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return request.Report{UnspentRetries: int(l.retries.Load()), Loads: l.loads}
+	return request.Report{
+		UnspentRetries: l.budget.Left(),
+		CallsBelow:     l.calls,
+		TimeBelow:      l.timeBelow,
+		Loads:          l.loads,
+	}
 }
 
 // Tokens maps the tokens of running calls to the calls.
@@ -73,8 +87,7 @@
 	var key token
 	// The system's random source never fails on the platforms that Go supports.
 	_, _ = rand.Read(key[:])
-	live := &LiveCall{Context: ctx, Call: call}
-	live.retries.Store(int64(call.Context.RetryBudget))
+	live := &LiveCall{Context: ctx, Call: call, budget: retry.NewBudget(call.Context.RetryBudget)}
 	t.mu.Lock()
 	t.live[key] = live
 	t.mu.Unlock()
--- a/bundle/index.go
+++ b/bundle/index.go
@@ -158,3 +158,20 @@
 	}
 	return time.Duration(d)
 }
+
+// Path returns a service and all services that a call to it may reach.
+func (x *Index) Path(service string) []string {
+	path := []string{service}
+	for i := 0; i < len(path); i++ {
+		s, ok := x.services[path[i]]
+		if !ok {
+			continue
+		}
+		for _, next := range s.Calls {
+			if !slices.Contains(path, next) {
+				path = append(path, next)
+			}
+		}
+	}
+	return path
+}
--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
+	_ "auburngap/app" // so that a change of the program runs these tests again
 	"auburngap/backend/fake"
 	"auburngap/bundle"
 	"auburngap/platform"
--- a/httpconn/answer.go
+++ b/httpconn/answer.go
@@ -55,11 +55,12 @@
 	AddHeaders(&response.Header, answer.Headers)
 	response.Header.Set(HeaderOutcome, request.Answered.String())
 
-	finish := func() {
+	end := func(status int, refusal *request.Refusal) {
 		_ = answer.Body.Close()
 		cancel()
-		e.done(answer.Status, nil)
+		e.done(status, refusal)
 	}
+	finish := func() { end(answer.Status, nil) }
 	if ctx.IsHead() {
 		response.SkipBody = true
 		if answer.BodySize > 0 {
@@ -69,7 +70,7 @@
 		return
 	}
 	if answer.BodySize >= 0 && answer.BodySize <= SmallBodyBytes {
-		e.writeSmall(ctx, answer, finish)
+		e.writeSmall(ctx, answer, end)
 		return
 	}
 	body := WithTrailers(answer.Body, answer.Trailers, &response.Header)
@@ -78,20 +79,19 @@
 
 // writeSmall reads a small body whole, so that one that breaks off becomes a
 // clear refusal instead of a short answer.
-func (e Exchange) writeSmall(ctx *fasthttp.RequestCtx, answer *request.Answer, finish func()) {
+func (e Exchange) writeSmall(ctx *fasthttp.RequestCtx, answer *request.Answer, end func(int, *request.Refusal)) {
 	// One byte more tells of a body that is longer than was stated.
 	data := make([]byte, answer.BodySize+1)
 	n, err := io.ReadFull(answer.Body, data)
 	if (err != io.EOF && err != io.ErrUnexpectedEOF) || int64(n) != answer.BodySize {
-		_ = answer.Body.Close()
 		ctx.Response.Reset()
 		refusal := request.Refuse(request.CauseBackendFailed, request.Unknown, 0)
 		WriteRefusal(ctx, refusal)
-		e.done(refusal.Cause.Status(), refusal)
+		end(refusal.Cause.Status(), refusal)
 		return
 	}
 	ctx.Response.SetBodyRaw(data[:n])
-	finish()
+	end(answer.Status, nil)
 }
 
 // closingReader ends the exchange when fasthttp closes the body.
--- /dev/null
+++ b/node/guard.go
@@ -0,0 +1,175 @@
+package node
+
+import (
+	"context"
+	"encoding/binary"
+	"sync"
+	"time"
+
+	"auburngap/admission"
+	"auburngap/bundle"
+	"auburngap/request"
+)
+
+// guard runs the admission limiter beside this VM's backend server.
+type guard struct {
+	bundle func() *bundle.Index
+
+	mu      sync.Mutex
+	limiter *admission.Limiter
+	service string
+	slots   int
+	expiry  *time.Timer
+}
+
+// place is one call's ticket at the guard.
+type place struct {
+	ticket admission.Ticket
+	// wake takes CauseNone when a queued call starts, else why it is dropped.
+	wake chan request.Cause
+	// started is when the call was handed to the backend server.
+	started time.Time
+}
+
+func newGuard(index func() *bundle.Index) *guard {
+	g := &guard{bundle: index}
+	g.expiry = time.AfterFunc(time.Hour, g.expire)
+	g.expiry.Stop()
+	return g
+}
+
+// hashOf is the same for a request ID at every hop.
+func hashOf(id request.ID) uint32 {
+	return binary.BigEndian.Uint32(id[12:])
+}
+
+// enter returns once the call may start, or refuses it.
+func (g *guard) enter(ctx context.Context, call *request.Call, service string, slots int) (*place, *request.Refusal) {
+	p := &place{wake: make(chan request.Cause, 1)}
+	p.ticket = admission.Ticket{
+		Priority:  call.Context.Priority,
+		Workspace: call.Context.Workspace,
+		Weight:    g.weight(call.Context.Workspace),
+		Depth:     call.Context.Depth,
+		Hash:      hashOf(call.Context.ID),
+		Deadline:  call.Context.Deadline,
+		Value:     p,
+	}
+	switch verdict := g.offer(p, service, slots); verdict.Action {
+	case admission.Run:
+		return p, nil
+	case admission.Refuse:
+		return nil, request.RefuseUnsent(call, verdict.Cause, time.Second)
+	}
+	select {
+	case cause := <-p.wake:
+		if cause == request.CauseNone {
+			return p, nil
+		}
+		return nil, request.RefuseUnsent(call, cause, time.Second)
+	case <-ctx.Done():
+		g.cancel(p)
+		return nil, request.RefuseUnsent(call, causeOf(ctx), 0)
+	}
+}
+
+// causeOf tells why a context has ended.
+func causeOf(ctx context.Context) request.Cause {
+	if ctx.Err() == context.DeadlineExceeded {
+		return request.CauseDeadline
+	}
+	return request.CauseCancelled
+}
+
+func (g *guard) weight(workspace string) float64 {
+	index := g.bundle()
+	if index == nil {
+		return 1
+	}
+	if w, ok := index.Workspace(workspace); ok {
+		return w.Weight
+	}
+	return 1
+}
+
+func (g *guard) offer(p *place, service string, slots int) admission.Verdict {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.announce(service, slots)
+	verdict, changes := g.limiter.Offer(&p.ticket, now)
+	g.apply(changes, now)
+	return verdict
+}
+
+// announce takes in what the backend server announces of itself.
+func (g *guard) announce(service string, slots int) {
+	if g.limiter == nil || g.service != service {
+		g.limiter = admission.New(admission.Config{Slots: slots})
+		g.service = service
+		g.slots = slots
+	}
+	if g.slots != slots {
+		g.limiter.Announce(slots)
+		g.slots = slots
+	}
+}
+
+// leave ends a call that ran.
+func (g *guard) leave(p *place, result admission.Result) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.apply(g.limiter.Finish(&p.ticket, now, result), now)
+}
+
+// cancel ends a call that nobody waits for any more.
+func (g *guard) cancel(p *place) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case cause := <-p.wake:
+		if cause != request.CauseNone {
+			return
+		}
+	default:
+	}
+	g.apply(g.limiter.Cancel(&p.ticket, now), now)
+}
+
+// apply wakes the calls whose turn has come or that will not run.
+func (g *guard) apply(changes admission.Changes, now time.Time) {
+	for _, ticket := range changes.Started {
+		ticket.Value.(*place).wake <- request.CauseNone
+	}
+	for _, drop := range changes.Dropped {
+		drop.Ticket.Value.(*place).wake <- drop.Cause
+	}
+	if next, ok := g.limiter.NextExpiry(); ok {
+		g.expiry.Reset(max(next.Sub(now), 0))
+	}
+}
+
+func (g *guard) expire() {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.apply(g.limiter.Expire(now), now)
+}
+
+// load tells how loaded the backend server of this VM is.
+func (g *guard) load(draining bool) request.ServiceLoad {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.limiter == nil {
+		return request.ServiceLoad{AdmitLevel: admission.FullLevel, Draining: draining}
+	}
+	return request.ServiceLoad{
+		Service:    g.service,
+		AdmitLevel: g.limiter.Level(time.Now()),
+		InFlight:   g.limiter.InFlight() + g.limiter.Queued(),
+		Limit:      g.limiter.Limit(),
+		Draining:   draining,
+	}
+}
--- a/node/membership.go
+++ b/node/membership.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"net/netip"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +12,7 @@
 
 	"auburngap/peer"
 	"auburngap/platform"
+	"auburngap/route"
 )
 
 const (
@@ -30,6 +29,7 @@
 	Zone     string         `json:"zone"`
 	Address  netip.AddrPort `json:"address"`
 	Service  string         `json:"service"`
+	Slots    int            `json:"slots"`
 	Draining bool           `json:"draining"`
 }
 
@@ -38,20 +38,19 @@
 	Address   netip.AddrPort
 	Platform  platform.Client
 	Announced *announcements
+	OnTargets func(service string, targets []route.Target)
 	Logger    *zap.Logger
 }
 
 // membership keeps the list of members through the platform.
 type membership struct {
 	config  membershipConfig
-	members atomic.Pointer[[]member]
+	known   []string
 	leaving atomic.Bool
 }
 
 func newMembership(config membershipConfig) *membership {
-	m := &membership{config: config}
-	m.members.Store(&[]member{})
-	return m
+	return &membership{config: config}
 }
 
 // Run announces this node and reads the others until the context ends.
@@ -84,7 +83,7 @@
 			members = append(members, one)
 		}
 	}
-	m.members.Store(&members)
+	m.update(members)
 	return lease
 }
 
@@ -116,6 +115,7 @@
 		Zone:     m.config.Self.Zone,
 		Address:  m.config.Address,
 		Service:  announced.Service,
+		Slots:    announced.Slots,
 		Draining: !ok || announced.Draining || m.leaving.Load(),
 	}
 }
@@ -125,25 +125,25 @@
 	m.leaving.Store(true)
 }
 
-// Pick returns a member whose backend server serves the service, one of the
-// own availability zone where there is any.
-func (m *membership) Pick(service string) (member, bool) {
-	var near, far []member
-	for _, one := range *m.members.Load() {
-		if one.Service != service || one.Draining {
-			continue
-		}
-		if strings.EqualFold(one.Zone, m.config.Self.Zone) {
-			near = append(near, one)
-		} else {
-			far = append(far, one)
-		}
+// update hands the members on, by service.
+func (m *membership) update(members []member) {
+	byService := make(map[string][]route.Target)
+	for _, service := range m.known {
+		byService[service] = nil
 	}
-	if len(near) == 0 {
-		near = far
+	for _, one := range members {
+		byService[one.Service] = append(byService[one.Service], route.Target{
+			VM:       one.VM,
+			Zone:     one.Zone,
+			Address:  one.Address,
+			Service:  one.Service,
+			Slots:    one.Slots,
+			Draining: one.Draining,
+		})
 	}
-	if len(near) == 0 {
-		return member{}, false
+	m.known = m.known[:0]
+	for service, targets := range byService {
+		m.known = append(m.known, service)
+		m.config.OnTargets(service, targets)
 	}
-	return near[rand.IntN(len(near))], true
 }
--- a/node/node.go
+++ b/node/node.go
@@ -25,6 +25,7 @@
 	"auburngap/caller"
 	"auburngap/peer"
 	"auburngap/platform"
+	"auburngap/retry"
 	"auburngap/settings"
 )
 
@@ -50,6 +51,8 @@
 	bundles    *bundleHolder
 	announced  *announcements
 	membership *membership
+	routes     *routes
+	local      *localHandler
 	tokens     *backend.Tokens
 	pool       *peer.Pool
 
@@ -91,19 +94,30 @@
 	n.announced = &announcements{}
 	n.tokens = backend.NewTokens()
 	n.pool = peer.NewPool(peer.PoolConfig{Self: n.identity, TLS: peerTLS, Logger: n.logger})
+	n.routes = newRoutes(n.identity.VM, n.identity.Zone)
 	n.membership = newMembership(membershipConfig{
 		Self:      n.identity,
 		Address:   s.PeerAddress,
 		Platform:  n.config.Platform,
 		Announced: n.announced,
+		OnTargets: n.routes.Update,
 		Logger:    n.logger,
 	})
 	n.backendClient = backend.NewClient(backend.ClientConfig{Tokens: n.tokens, Announced: n.announced.Current})
-	local := &localHandler{next: n.backendClient, announced: n.announced}
-	router := &router{self: n.identity.VM, local: local, pool: n.pool, membership: n.membership}
+	n.local = &localHandler{next: n.backendClient, announced: n.announced, guard: newGuard(n.bundles.Index)}
+	gate := newGate()
+	router := &router{
+		self:   n.identity.VM,
+		local:  n.local,
+		pool:   n.pool,
+		routes: n.routes,
+		gate:   gate,
+		policy: retry.NewPolicy(retry.Config{}),
+	}
+	entry := &entry{bundle: n.bundles.Index, gate: gate, next: router}
 	n.callers = caller.New(caller.Config{
 		Bundle:      n.bundles.Index,
-		Next:        router,
+		Next:        entry,
 		Logger:      n.logger,
 		IdleTimeout: time.Duration(s.IdleTimeout),
 	})
@@ -114,7 +128,7 @@
 		OnAnnounce: n.announced.Set,
 		Logger:     n.logger,
 	})
-	n.peers = peer.NewServer(peer.ServerConfig{Self: n.identity, TLS: peerTLS, Calls: local, Logger: n.logger})
+	n.peers = peer.NewServer(peer.ServerConfig{Self: n.identity, TLS: peerTLS, Calls: n.local, Logger: n.logger})
 	n.control = newControlServer(n)
 	return nil
 }
@@ -157,6 +171,7 @@
 	n.logger.Info("node: draining")
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(n.config.Settings.DrainTimeout))
 	defer cancel()
+	n.local.leaving.Store(true)
 	n.membership.Leave(ctx)
 	n.shutdown(ctx, "callers", n.callers.Shutdown)
 	n.peers.Drain()
--- a/node/router.go
+++ b/node/router.go
@@ -2,54 +2,153 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
 
 	"auburngap/peer"
 	"auburngap/request"
+	"auburngap/retry"
+	"auburngap/route"
 )
 
-// router hands calls to the node of a backend server of their service.
+// router hands calls to the node of a backend server of their service, and
+// tries again within the request's retry budget.
 type router struct {
-	self       string
-	local      request.Handler
-	pool       *peer.Pool
-	membership *membership
+	self   string
+	local  request.Handler
+	pool   *peer.Pool
+	routes *routes
+	gate   *gate
+	policy *retry.Policy
 }
 
 // Serve implements request.Handler.
 func (r *router) Serve(ctx context.Context, call *request.Call) (*request.Answer, error) {
-	for {
-		answer, err := r.attempt(ctx, call)
+	budget := retry.NewBudget(call.Context.RetryBudget)
+	picker := r.routes.of(call.Service)
+	var tried *route.Choice
+	callsBelow := 0
+	for number := 1; ; number++ {
+		lent := budget.Lend()
+		call.Context.RetryBudget = lent
+		choice, answer, err := r.attempt(ctx, call, picker, tried)
 		if err == nil {
-			return answer, nil
+			return r.withBudget(answer, budget, lent), nil
 		}
 		refusal := request.AsRefusal(err)
-		if !mayRetry(call, refusal) || ctx.Err() != nil {
+		budget.Return(lent, refusal.Report.UnspentRetries)
+		callsBelow = max(callsBelow, refusal.Report.CallsBelow)
+		attempt := retry.Attempt{
+			Number:     number,
+			Outcome:    refusal.Outcome,
+			Cause:      refusal.Cause,
+			Idempotent: call.Idempotent,
+			Overloaded: r.gate.overloaded(call.Service),
+			CallsBelow: callsBelow,
+			Deadline:   call.Context.Deadline,
+		}
+		if !r.again(ctx, call, picker, &budget, attempt) {
+			refusal.Report.UnspentRetries = budget.Left()
 			return nil, refusal
 		}
-		call.Context.RetryBudget = refusal.Report.UnspentRetries - 1
-		call.Body = call.Replay()
+		tried = choice
+	}
+}
+
+// again waits before the next attempt; false where there is none.
+func (r *router) again(ctx context.Context, call *request.Call, picker *servicePicker, budget *retry.Budget, attempt retry.Attempt) bool {
+	if call.Replay == nil || ctx.Err() != nil {
+		return false
+	}
+	var delay time.Duration
+	var ok bool
+	picker.withRandom(func(random *rand.Rand) {
+		delay, ok = r.policy.Next(budget, attempt, time.Now(), random)
+	})
+	if !ok {
+		return false
+	}
+	call.Body = call.Replay()
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// withBudget makes the answer's report tell what is left of the budget.
+func (r *router) withBudget(answer *request.Answer, budget retry.Budget, lent int) *request.Answer {
+	report := answer.Report
+	answer.Report = func() request.Report {
+		whole := report()
+		left := budget
+		left.Return(lent, whole.UnspentRetries)
+		whole.UnspentRetries = left.Left()
+		return whole
 	}
+	return answer
 }
 
-func (r *router) attempt(ctx context.Context, call *request.Call) (*request.Answer, error) {
-	target, ok := r.membership.Pick(call.Service)
+func (r *router) attempt(ctx context.Context, call *request.Call, picker *servicePicker, tried *route.Choice) (*route.Choice, *request.Answer, error) {
+	choice, ok := picker.pick(tried)
 	if !ok {
-		refusal := request.Refuse(request.CauseNoBackend, request.NotRun, 0)
-		return nil, refusal
+		return nil, nil, request.RefuseUnsent(call, request.CauseNoBackend, time.Second)
+	}
+	start := time.Now()
+	answer, err := r.send(ctx, call, choice)
+	if err != nil {
+		refusal := request.AsRefusal(err)
+		r.gate.learn(refusal.Report.Loads)
+		picker.done(choice, resultOfRefusal(refusal), 0, signalOf(call.Service, refusal.Report.Loads))
+		return &choice, nil, err
 	}
-	if target.VM == r.self {
+	report := answer.Report
+	answer.Body = &onClose{ReadCloser: answer.Body, closed: func() {
+		loads := report().Loads
+		r.gate.learn(loads)
+		picker.done(choice, resultOfStatus(answer.Status), time.Since(start), signalOf(call.Service, loads))
+	}}
+	return &choice, answer, nil
+}
+
+func (r *router) send(ctx context.Context, call *request.Call, choice route.Choice) (*request.Answer, error) {
+	if choice.Target.VM == r.self {
 		return r.local.Serve(ctx, call)
 	}
-	return r.pool.Call(ctx, target.Address, call)
+	return r.pool.Call(ctx, choice.Target.Address, call)
 }
 
-// mayRetry tells whether a refused call may be sent again.
-func mayRetry(call *request.Call, refusal *request.Refusal) bool {
-	if call.Replay == nil || refusal.Report.UnspentRetries < 1 {
-		return false
+// signalOf returns the load of the server that answered for a service.
+func signalOf(service string, loads []request.ServiceLoad) *loadSignal {
+	for _, load := range loads {
+		if load.Service == service && load.Limit > 0 {
+			return &loadSignal{inFlight: load.InFlight, limit: load.Limit}
+		}
+	}
+	return nil
+}
+
+// resultOfStatus leaves failures of deeper services out: they say nothing
+// about the server that passed them on.
+func resultOfStatus(status int) route.Result {
+	if status == http.StatusServiceUnavailable {
+		return route.Overloaded
 	}
-	if refusal.Outcome == request.NotRun {
-		return refusal.Cause == request.CauseNoBackend || refusal.Cause == request.CauseDraining
+	return route.Succeeded
+}
+
+func resultOfRefusal(refusal *request.Refusal) route.Result {
+	switch refusal.Cause {
+	case request.CauseOverload:
+		return route.Overloaded
+	case request.CauseDraining:
+		return route.Draining
+	case request.CauseCancelled, request.CauseRate:
+		return route.Cancelled
 	}
-	return call.Idempotent && refusal.Cause == request.CauseBackendFailed
+	return route.Failed
 }
--- a/peer/body.go
+++ b/peer/body.go
@@ -92,6 +92,7 @@
 func (b *bodyReader) report() request.Report {
 	return request.Report{
 		UnspentRetries: int(b.end.GetUnspentRetries()),
+		CallsBelow:     int(b.end.GetCallsBelow()),
 		Loads:          loadsFromMessage(b.end.GetSignal()),
 	}
 }
--- a/peer/call_client.go
+++ b/peer/call_client.go
@@ -18,7 +18,7 @@
 func (p *Pool) Call(ctx context.Context, address netip.AddrPort, call *request.Call) (*request.Answer, error) {
 	stream, err := p.OpenStream(ctx, address)
 	if err != nil {
-		return nil, request.Refuse(request.CauseNoBackend, request.NotRun, 0)
+		return nil, request.RefuseUnsent(call, request.CauseNoBackend, 0)
 	}
 	exchange := &exchange{stream: stream, frames: NewFrameReader(stream)}
 	exchange.stop = context.AfterFunc(ctx, exchange.cancel)
--- a/peer/call_server.go
+++ b/peer/call_server.go
@@ -103,6 +103,7 @@
 	if answer.Report != nil {
 		report := answer.Report()
 		end.UnspentRetries = uint32(max(report.UnspentRetries, 0))
+		end.CallsBelow = uint32(max(report.CallsBelow, 0))
 		end.Signal = loadsToMessage(report.Loads)
 	}
 	if err := w.Add(KindEnd, end); err != nil {
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -109,6 +109,7 @@
 		RetryAfterMicros: r.RetryAfter.Microseconds(),
 		Signal:           loadsToMessage(r.Report.Loads),
 		UnspentRetries:   uint32(max(r.Report.UnspentRetries, 0)),
+		CallsBelow:       uint32(max(r.Report.CallsBelow, 0)),
 	}
 }
 
@@ -117,6 +118,7 @@
 		time.Duration(m.GetRetryAfterMicros())*time.Microsecond)
 	refusal.Report = request.Report{
 		UnspentRetries: int(m.GetUnspentRetries()),
+		CallsBelow:     int(m.GetCallsBelow()),
 		Loads:          loadsFromMessage(m.GetSignal()),
 	}
 	return refusal
--- a/request/call.go
+++ b/request/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"time"
 )
 
 // Header is one HTTP header or trailer line.
@@ -52,6 +53,11 @@
 type Report struct {
 	// UnspentRetries is the part of the call's retry budget that was not used.
 	UnspentRetries int
+	// CallsBelow is the number of calls that were made on the call's behalf.
+	CallsBelow int
+	// TimeBelow is how long the backend server waited for those calls; it does
+	// not travel between nodes.
+	TimeBelow time.Duration
 	// Loads tells of overload at the services that the call reached.
 	Loads []ServiceLoad
 }
@@ -59,7 +65,7 @@
 // ServiceLoad is what a node knows of the overload of one service.
 type ServiceLoad struct {
 	Service string
-	// AdmitLevel is the admission level in 1/256 of a priority.
+	// AdmitLevel is the admission level up to which requests are admitted.
 	AdmitLevel uint16
 	// InFlight and Limit are those of the answering node's backend server.
 	InFlight int
--- a/request/outcome.go
+++ b/request/outcome.go
@@ -124,6 +124,14 @@
 	return &Refusal{Cause: cause, Outcome: outcome, RetryAfter: retryAfter}
 }
 
+// RefuseUnsent returns the refusal of a call that has not left this node, with
+// its whole retry budget unspent.
+func RefuseUnsent(call *Call, cause Cause, retryAfter time.Duration) *Refusal {
+	refusal := Refuse(cause, NotRun, retryAfter)
+	refusal.Report.UnspentRetries = call.Context.RetryBudget
+	return refusal
+}
+
 // Error implements error.
 func (r *Refusal) Error() string {
 	return fmt.Sprintf("request refused: %s, %s", r.Cause, r.Outcome)
