--- /dev/null
+++ b/peer/keys_test.go
@@ -0,0 +1,23 @@
+package peer
+
+import (
+	"crypto/tls"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"auburngap/keys"
+)
+
+// makeKeys returns the TLS of a node signed by an authority of its own.
+func makeKeys(t *testing.T) *tls.Config {
+	t.Helper()
+	authority, err := keys.NewAuthority(keys.Config{Site: "test", Valid: time.Hour, Now: time.Now()})
+	assert.NilError(t, err)
+	pair, err := authority.Issue(PeerServerName)
+	assert.NilError(t, err)
+	config, err := Keys{CertificatePEM: pair.CertificatePEM, KeyPEM: pair.KeyPEM, AuthoritiesPEM: authority.CertificatePEM}.TLSConfig()
+	assert.NilError(t, err)
+	return config
+}
