Add an open-loop load tool and a measurement of one hop

Loads are bounded in rate, time and to loopback, and count latency from when a request was due. The measurement compares a direct call with one through two nodes in the same run; it runs on demand, as its figures mean nothing on a busy machine.

--- a/app/commands.go
+++ b/app/commands.go
@@ -13,6 +13,7 @@
 type commandLine struct {
 	Node         *nodeCommand        `arg:"subcommand:node" help:"run the node beside a backend server"`
 	Settings     *settingsCommand    `arg:"subcommand:settings" help:"check a node's settings"`
+	Load         *loadCommand        `arg:"subcommand:load" help:"send an open-loop load to a node on this machine"`
 	PlatformFake *fake.Command       `arg:"subcommand:platform-fake" help:"run a stand-in of the platform's key-value service, for tests"`
 	BackendFake  *backendFakeCommand `arg:"subcommand:backend-fake" help:"run a fake backend server, for tests"`
 }
@@ -32,17 +33,21 @@
 		return c.Node.run(ctx, stderr)
 	case c.Settings != nil:
 		return c.Settings.run(stdout, stderr)
+	case c.Load != nil:
+		return exitOf(stderr, c.Load.run(ctx, stdout))
 	case c.PlatformFake != nil:
-		if err := c.PlatformFake.Run(ctx, stdout); err != nil {
-			return fail(stderr, err)
-		}
-		return ExitOK
+		return exitOf(stderr, c.PlatformFake.Run(ctx, stdout))
 	case c.BackendFake != nil:
-		if err := c.BackendFake.run(ctx); err != nil {
-			return fail(stderr, err)
-		}
-		return ExitOK
+		return exitOf(stderr, c.BackendFake.run(ctx))
 	}
 	parser.WriteHelp(stderr)
 	return ExitUsage
 }
+
+// exitOf returns the exit code of a command that ended with err.
+func exitOf(stderr io.Writer, err error) int {
+	if err != nil {
+		return fail(stderr, err)
+	}
+	return ExitOK
+}
--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -59,6 +59,8 @@
 	client   *fasthttp.Client
 	servers  map[string]*fake.Server
 	platform platform.Client
+	// addresses are those of the fake backend servers.
+	addresses map[string]netip.AddrPort
 }
 
 // chain is a call graph five deep with a fan-out of three at its third hop.
@@ -106,9 +108,10 @@
 	t.Cleanup(s.Close)
 	w := &world{
 		t: t, ctx: ctx, site: s, bundle: b,
-		client:   &fasthttp.Client{ReadTimeout: 20 * time.Second},
-		servers:  make(map[string]*fake.Server),
-		platform: platform.NewHTTPClient(platform.HTTPConfig{Address: s.Platform}),
+		client:    &fasthttp.Client{ReadTimeout: 20 * time.Second},
+		servers:   make(map[string]*fake.Server),
+		addresses: make(map[string]netip.AddrPort),
+		platform:  platform.NewHTTPClient(platform.HTTPConfig{Address: s.Platform}),
 	}
 	w.publish(b)
 	for _, service := range b.Services {
@@ -139,6 +142,7 @@
 		Parallel:    true,
 	})
 	w.servers[service.Name] = server
+	w.addresses[service.Name] = netip.MustParseAddrPort(listener.Addr().String())
 	go func() { _ = server.Run(w.ctx, listener) }()
 }
 
