--- a/route/subset.go
+++ b/route/subset.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
+	"auburngap/rendezvous"
 )
 
 // subset returns the size servers that rendezvous hashing gives to a node.
@@ -15,9 +15,9 @@
 		return servers
 	}
 	ranked := make([]rankedServer, len(servers))
-	seed := xxhash.Sum64String(vm)
+	chooser := rendezvous.New(vm)
 	for i, s := range servers {
-		ranked[i] = rankedServer{rank: rendezvousRank(seed, s.target.VM), server: s}
+		ranked[i] = rankedServer{rank: chooser.Rank(s.target.VM), server: s}
 	}
 	slices.SortFunc(ranked, func(a, b rankedServer) int { return cmp.Compare(a.rank, b.rank) })
 	chosen := make([]*server, size)
@@ -31,11 +31,3 @@
 	rank   uint64
 	server *server
 }
-
-// rendezvousRank hashes the pair of a node's seed and a server's VM.
-func rendezvousRank(seed uint64, vm string) uint64 {
-	x := xxhash.Sum64String(vm) ^ seed
-	x = (x ^ x>>30) * 0xBF58476D1CE4E5B9
-	x = (x ^ x>>27) * 0x94D049BB133111EB
-	return x ^ x>>31
-}
