Take membership and bundles from the directory; drain with notice

A node that drains goes on for 1.5 s with answers that close their connections, so that callers leave before anything is closed; calls that a leaving node refused go elsewhere without a charge on the retry budget, since no backend server saw them.

Trailers that repeat the caller's key are dropped, and requests that state both a length and chunks are refused: both found by the tests of this change.

Shown by: go test ./e2e ./caller ./peer: ok.

--- a/caller/admit.go
+++ b/caller/admit.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -37,6 +38,9 @@
 	if refusal := s.identify(ctx, index, route, call); refusal != nil {
 		return call, refusal
 	}
+	if isAmbiguous(&ctx.Request.Header) {
+		return call, request.Refuse(request.CauseBadRequest, request.NotRun, 0)
+	}
 	if refusal := fillCall(ctx, route, call, now); refusal != nil {
 		return call, refusal
 	}
@@ -92,6 +96,15 @@
 	return nil, nil
 }
 
+// isAmbiguous tells whether a chunked request states a length too, which other
+// servers on its way may have read in another way.
+func isAmbiguous(h *fasthttp.RequestHeader) bool {
+	if h.ContentLength() != -1 {
+		return false
+	}
+	return bytes.Contains(bytes.ToLower(h.RawHeaders()), []byte("content-length:"))
+}
+
 // minKeyBytes is the length from which a key is searched for in other places.
 const minKeyBytes = 8
 
@@ -161,11 +174,25 @@
 	call.BodySize = body.Size
 	call.Replay = body.Replay
 	if body.Replay == nil {
-		call.Trailers = func() []request.Header { return httpconn.Trailers(&ctx.Request.Header) }
+		key, _ := keyOf(&ctx.Request.Header)
+		call.Trailers = trailersWithout(&ctx.Request.Header, bytes.Clone(key))
 	}
 	return nil
 }
 
+// trailersWithout returns the trailers that do not repeat the key.
+func trailersWithout(h *fasthttp.RequestHeader, key []byte) func() []request.Header {
+	return func() []request.Header {
+		trailers := httpconn.Trailers(h)
+		if len(key) < minKeyBytes {
+			return trailers
+		}
+		return slices.DeleteFunc(trailers, func(t request.Header) bool {
+			return bytes.Contains(t.Value, key) || bytes.Contains(t.Name, key)
+		})
+	}
+}
+
 func withoutKey(headers []request.Header) []request.Header {
 	kept := headers[:0]
 	for _, h := range headers {
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -64,6 +65,8 @@
 type Server struct {
 	config Config
 	http   *fasthttp.Server
+	// draining asks callers to come back on another connection.
+	draining atomic.Bool
 }
 
 // New returns a server.
@@ -92,6 +95,12 @@
 	return s.http.Serve(httpconn.Listen(listener))
 }
 
+// Drain makes every further answer the last on its connection, so that callers
+// leave before Shutdown closes what is idle.
+func (s *Server) Drain() {
+	s.draining.Store(true)
+}
+
 // Shutdown stops accepting, lets running requests end and closes idle connections.
 func (s *Server) Shutdown(ctx context.Context) error {
 	return s.http.ShutdownWithContext(ctx)
@@ -108,6 +117,9 @@
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	start := time.Now()
+	if s.draining.Load() {
+		ctx.SetConnectionClose()
+	}
 	call, refusal := s.admit(ctx, start)
 	if refusal != nil {
 		httpconn.WriteRefusal(ctx, refusal)
--- a/node/announcements.go
+++ b/node/announcements.go
@@ -13,6 +13,12 @@
 // announcements holds the last announcement of this VM's backend server.
 type announcements struct {
 	last atomic.Pointer[received]
+	// changed is signalled when an announcement differs in more than its load.
+	changed chan struct{}
+}
+
+func newAnnouncements() *announcements {
+	return &announcements{changed: make(chan struct{}, 1)}
 }
 
 type received struct {
@@ -22,7 +28,17 @@
 
 // Set takes an announcement.
 func (a *announcements) Set(announcement backend.Announcement) {
-	a.last.Store(&received{announcement: announcement, at: time.Now()})
+	before := a.last.Swap(&received{announcement: announcement, at: time.Now()})
+	if before != nil {
+		announcement.Load = before.announcement.Load
+	}
+	if before != nil && before.announcement == announcement {
+		return
+	}
+	select {
+	case a.changed <- struct{}{}:
+	default:
+	}
 }
 
 // Current returns the last announcement; false where it is too old or there is none.
--- a/node/entry.go
+++ b/node/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"auburngap/admission"
@@ -36,5 +35,5 @@
 
 // spread keeps callers that were refused together from coming back together.
 func spread(base time.Duration) time.Duration {
-	return admission.RetryAfter(base, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	return admission.RetryAfter(base, newRandom())
 }
--- a/node/node.go
+++ b/node/node.go
@@ -14,6 +14,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -22,7 +23,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"auburngap/backend"
+	"auburngap/bundle"
 	"auburngap/caller"
+	"auburngap/directory"
 	"auburngap/peer"
 	"auburngap/platform"
 	"auburngap/retry"
@@ -35,6 +38,10 @@
 	ErrStart = errs.NewType("start")
 )
 
+// drainNotice is the time for which a node that drains goes on serving, so that
+// other nodes and callers with open connections learn of it first.
+const drainNotice = 1500 * time.Millisecond
+
 // Config configures a Node.
 type Config struct {
 	Settings settings.Node
@@ -51,6 +58,7 @@
 	bundles    *bundleHolder
 	announced  *announcements
 	membership *membership
+	directory  *directory.Directory
 	routes     *routes
 	local      *localHandler
 	tokens     *backend.Tokens
@@ -90,21 +98,27 @@
 	if err != nil {
 		return ErrStart.Wrap(err, "peerTls")
 	}
-	n.bundles = newBundleHolder(n.config.Platform, n.logger)
-	n.announced = &announcements{}
+	n.bundles = &bundleHolder{logger: n.logger, onForce: n.apply}
+	n.announced = newAnnouncements()
 	n.tokens = backend.NewTokens()
 	n.pool = peer.NewPool(peer.PoolConfig{Self: n.identity, TLS: peerTLS, Logger: n.logger})
 	n.routes = newRoutes(n.identity.VM, n.identity.Zone)
-	n.membership = newMembership(membershipConfig{
-		Self:      n.identity,
+	n.directory = directory.New(directory.Config{
+		VM:        n.identity.VM,
+		Zone:      n.identity.Zone,
 		Address:   s.PeerAddress,
+		Seeds:     s.Seeds,
 		Platform:  n.config.Platform,
-		Announced: n.announced,
+		Peers:     directory.NewDialer(n.pool),
+		Bundles:   n.bundles,
+		Source:    &bundleSource{platform: n.config.Platform},
+		Zones:     n.zones,
 		OnTargets: n.routes.Update,
 		Logger:    n.logger,
 	})
 	n.backendClient = backend.NewClient(backend.ClientConfig{Tokens: n.tokens, Announced: n.announced.Current})
 	n.local = &localHandler{next: n.backendClient, announced: n.announced, guard: newGuard(n.bundles.Index)}
+	n.membership = &membership{directory: n.directory, announced: n.announced, local: n.local, onService: n.resubscribe}
 	gate := newGate()
 	router := &router{
 		self:   n.identity.VM,
@@ -129,10 +143,52 @@
 		Logger:     n.logger,
 	})
 	n.peers = peer.NewServer(peer.ServerConfig{Self: n.identity, TLS: peerTLS, Calls: n.local, Logger: n.logger})
+	n.peers.HandleStream(peer.KindAnnounce, n.directory.HandleStream)
 	n.control = newControlServer(n)
 	return nil
 }
 
+// apply subscribes to the services that a bundle in force makes this node call.
+func (n *Node) apply(index *bundle.Index) {
+	n.directory.SetServices(n.calledServices(index))
+}
+
+// resubscribe subscribes again after the backend server's service has changed.
+func (n *Node) resubscribe() {
+	if index := n.bundles.Index(); index != nil {
+		n.apply(index)
+	}
+}
+
+// calledServices returns the services of the entry routes and those that this
+// VM's own service calls.
+func (n *Node) calledServices(index *bundle.Index) []string {
+	var services []string
+	for _, route := range index.Bundle.Routes {
+		services = append(services, route.Service)
+	}
+	if announced, ok := n.announced.Current(); ok {
+		if own, ok := index.Service(announced.Service); ok {
+			services = append(services, own.Calls...)
+		}
+	}
+	slices.Sort(services)
+	return slices.Compact(services)
+}
+
+// zones returns the availability zones of the site.
+func (n *Node) zones() []string {
+	index := n.bundles.Index()
+	if index == nil {
+		return nil
+	}
+	names := make([]string, len(index.Bundle.Zones))
+	for i, zone := range index.Bundle.Zones {
+		names[i] = zone.Name
+	}
+	return names
+}
+
 // Run serves until the context ends, then drains and returns.
 func (n *Node) Run(ctx context.Context) error {
 	s := n.config.Settings
@@ -154,7 +210,7 @@
 	group.Go(func() error { return n.backends.Serve(backends) })
 	group.Go(func() error { return n.control.Serve(control) })
 	group.Go(func() error { return n.peers.Serve(serving, peers) })
-	group.Go(func() error { return n.bundles.Run(serving) })
+	group.Go(func() error { return n.directory.Run(serving) })
 	group.Go(func() error { return n.membership.Run(serving) })
 	group.Go(func() error {
 		<-ctx.Done()
@@ -172,9 +228,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(n.config.Settings.DrainTimeout))
 	defer cancel()
 	n.local.leaving.Store(true)
-	n.membership.Leave(ctx)
+	n.membership.tell()
+	n.callers.Drain()
+	time.Sleep(drainNotice)
 	n.shutdown(ctx, "callers", n.callers.Shutdown)
-	n.peers.Drain()
+	if err := n.peers.Drain(ctx); err != nil {
+		n.logger.Warn("node: calls of other nodes were cut", zap.Error(err))
+	}
 	n.shutdown(ctx, "backend server", n.backends.Shutdown)
 	n.shutdown(ctx, "control", n.control.Shutdown)
 	n.pool.Close()
--- a/node/router.go
+++ b/node/router.go
@@ -12,6 +12,10 @@
 	"auburngap/route"
 )
 
+// maxReroutes bounds how often a call goes to another node without a charge on
+// the retry budget, as its backend server never saw it.
+const maxReroutes = 3
+
 // router hands calls to the node of a backend server of their service, and
 // tries again within the request's retry budget.
 type router struct {
@@ -29,6 +33,7 @@
 	picker := r.routes.of(call.Service)
 	var tried *route.Choice
 	callsBelow := 0
+	reroutes := 0
 	for number := 1; ; number++ {
 		lent := budget.Lend()
 		call.Context.RetryBudget = lent
@@ -39,6 +44,12 @@
 		refusal := request.AsRefusal(err)
 		budget.Return(lent, refusal.Report.UnspentRetries)
 		callsBelow = max(callsBelow, refusal.Report.CallsBelow)
+		if reroutes < maxReroutes && mayReroute(ctx, call, refusal) {
+			reroutes++
+			call.Body = call.Replay()
+			tried = choice
+			continue
+		}
 		attempt := retry.Attempt{
 			Number:     number,
 			Outcome:    refusal.Outcome,
@@ -56,6 +67,15 @@
 	}
 }
 
+// mayReroute tells whether a refused call has reached no backend server, as its
+// node is leaving or gone.
+func mayReroute(ctx context.Context, call *request.Call, refusal *request.Refusal) bool {
+	if call.Replay == nil || ctx.Err() != nil || refusal.Outcome != request.NotRun {
+		return false
+	}
+	return refusal.Cause == request.CauseDraining || refusal.Cause == request.CauseNoBackend
+}
+
 // again waits before the next attempt; false where there is none.
 func (r *router) again(ctx context.Context, call *request.Call, picker *servicePicker, budget *retry.Budget, attempt retry.Attempt) bool {
 	if call.Replay == nil || ctx.Err() != nil {
--- a/node/routes.go
+++ b/node/routes.go
@@ -50,7 +50,7 @@
 	}
 	p = &servicePicker{
 		picker: route.New(route.Config{VM: r.vm, Zone: r.zone}),
-		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		random: newRandom(),
 	}
 	r.byService[service] = p
 	return p
--- a/peer/server.go
+++ b/peer/server.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/hashicorp/yamux"
 	"go.uber.org/zap"
@@ -15,6 +17,9 @@
 	"auburngap/request"
 )
 
+// drainPoll is the time between two looks at the calls that still run.
+const drainPoll = 10 * time.Millisecond
+
 // ControlHandler answers one control message; it returns the reply, or an
 // error that closes the stream without one.
 type ControlHandler func(ctx context.Context, from Identity, payload []byte) (proto.Message, error)
@@ -38,7 +43,7 @@
 	config   ServerConfig
 	handlers map[Kind]StreamHandler
 	sessions sync.WaitGroup
-	calls    sync.WaitGroup
+	calls    atomic.Int64
 }
 
 // NewServer returns a server without control handlers.
@@ -89,9 +94,18 @@
 	}
 }
 
-// Drain waits until the calls that were accepted have ended.
-func (s *Server) Drain() {
-	s.calls.Wait()
+// Drain waits until no call of another node runs, or the context ends.
+func (s *Server) Drain(ctx context.Context) error {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for s.calls.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return ErrBroken.New("%d calls still run", s.calls.Load())
+		case <-ticker.C:
+		}
+	}
+	return nil
 }
 
 func (s *Server) closeListener(listener net.Listener) {
@@ -137,7 +151,7 @@
 	}
 	if kind == KindCall {
 		s.calls.Add(1)
-		defer s.calls.Done()
+		defer s.calls.Add(-1)
 		s.logStream(from, s.serveCall(ctx, reader, first, stream))
 		return
 	}
