Decide and keep shard ownership

Cause: tokens and commitments need one owner a shard. shard.Machine is the pure decision and interprets charts/shard.json; shard.Keeper drives it with the platform and the VMs of the zone.

The specification now lets a VM take over what another VM tells it of its own entry (binding and settled releases), as the code does, so that a handover need not wait for the heir's next read.

Ruled out: ranks counted from the first sight of a lapse alone; all of them had passed when the platform became steady, and one VM took every shard.

--- /dev/null
+++ b/shard/keeper.go
@@ -0,0 +1,239 @@
+package shard
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"auburngap/platform"
+)
+
+// tickInterval is how often the machine looks at the clock.
+const tickInterval = 100 * time.Millisecond
+
+// Owner is told which shards the VM owns. Its methods are called by one
+// goroutine, must not block, and must not call the Keeper's Run or Shutdown.
+type Owner interface {
+	// Gained is called before Live returns true, or under a new epoch while it
+	// does. inherited means that the state of the shard's last owner is at hand.
+	Gained(shard int, epoch uint64, inherited bool)
+	// Lost is called after Live has returned false for the last time. The state
+	// is kept: Gained may follow with inherited set, or Export.
+	Lost(shard int)
+	// Export returns the state of a lost shard for its next owner.
+	Export(shard int) []byte
+	// Import takes in what Export returned elsewhere; Gained follows.
+	Import(shard int, state []byte)
+}
+
+// Clock gives readings that go on while the VM is suspended.
+type Clock interface {
+	Now() time.Duration
+}
+
+// KeeperConfig configures a Keeper.
+type KeeperConfig struct {
+	VM      string
+	Zone    string
+	Address netip.AddrPort
+	// Shards is the number of shards of the zone; it must never change.
+	Shards int
+	// Zones lists the zones whose tables OwnerOf may be asked for.
+	Zones []string
+	// Timing defaults to DefaultTiming.
+	Timing   Timing
+	Platform platform.Client
+	Peers    Peers
+	Owner    Owner
+	Clock    Clock
+	// Incarnation defaults to a new UUID.
+	Incarnation string
+	// Violated is told the name of an invariant that does not hold.
+	Violated func(invariant string)
+	Logger   *zap.Logger
+	Metrics  tally.Scope
+}
+
+// Keeper keeps a VM's shards: it drives a Machine.
+type Keeper struct {
+	cfg     KeeperConfig
+	machine *Machine
+	events  chan queuedEvent
+	stopped chan struct{}
+	calls   sync.WaitGroup
+
+	// gates holds what Live looks at, one a shard.
+	gates []atomic.Pointer[gate]
+	// tables holds the zones' tables as last seen.
+	tables sync.Map
+
+	addresses sync.Map
+	received  map[int]receivedState
+	log       *zap.Logger
+	metrics   tally.Scope
+}
+
+// gate is an ownership with its end.
+type gate struct {
+	ownership Ownership
+	until     time.Duration
+}
+
+type receivedState struct {
+	epoch uint64
+	state []byte
+}
+
+// queuedEvent is an event, or a function to run between events.
+type queuedEvent struct {
+	event Event
+	reply chan<- Answer
+	run   func()
+}
+
+// NewKeeper returns a keeper that Run has to drive, or the error of its charts.
+func NewKeeper(cfg KeeperConfig) (*Keeper, error) {
+	if cfg.Timing == (Timing{}) {
+		cfg.Timing = DefaultTiming()
+	}
+	if cfg.Clock == nil {
+		cfg.Clock = BootClock{}
+	}
+	if cfg.Incarnation == "" {
+		cfg.Incarnation = uuid.NewString()
+	}
+	if cfg.Logger == nil {
+		cfg.Logger = zap.NewNop()
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = tally.NoopScope
+	}
+	k := &Keeper{
+		cfg: cfg, events: make(chan queuedEvent, 64), stopped: make(chan struct{}),
+		gates: make([]atomic.Pointer[gate], cfg.Shards), received: map[int]receivedState{},
+		log: cfg.Logger, metrics: cfg.Metrics.SubScope("shard"),
+	}
+	machine, err := NewMachine(Config{
+		VM: cfg.VM, Zone: cfg.Zone, Address: cfg.Address, Incarnation: cfg.Incarnation,
+		Shards: cfg.Shards, Timing: cfg.Timing, Violated: k.violated,
+	}, cfg.Clock.Now())
+	if err != nil {
+		return nil, err
+	}
+	k.machine = machine
+	return k, nil
+}
+
+// Run drives the machine until the context ends or a shutdown is complete.
+func (k *Keeper) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer k.calls.Wait()
+	defer cancel()
+	defer k.close()
+	k.watchZones(ctx)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			k.handle(ctx, queuedEvent{event: Tick{VMs: k.vms()}})
+		case e := <-k.events:
+			k.handle(ctx, e)
+		}
+		if k.machine.shutdown.done {
+			return nil
+		}
+	}
+}
+
+// Now returns a reading of the keeper's clock.
+func (k *Keeper) Now() time.Duration { return k.cfg.Clock.Now() }
+
+// Live returns the ownership of a shard at a reading of the clock that was
+// taken just now; false if the VM must not act on the shard.
+func (k *Keeper) Live(shard int, now time.Duration) (Ownership, bool) {
+	if shard < 0 || shard >= len(k.gates) {
+		return Ownership{}, false
+	}
+	g := k.gates[shard].Load()
+	if g == nil || now >= g.until {
+		return Ownership{}, false
+	}
+	return g.ownership, true
+}
+
+// OwnerOf returns the VM that the table names as a shard's owner, with its
+// address and epoch; false if none is known. Only the owner itself knows
+// whether it may act.
+func (k *Keeper) OwnerOf(zone string, shard int) (vm string, address netip.AddrPort, epoch uint64, ok bool) {
+	value, found := k.tables.Load(zone)
+	if !found {
+		return "", netip.AddrPort{}, 0, false
+	}
+	table := value.(*Table)
+	if shard < 0 || shard >= len(table.Shards) || table.Shards[shard].Owner == "" {
+		return "", netip.AddrPort{}, 0, false
+	}
+	e := &table.Shards[shard]
+	return e.Owner, e.Address, e.Epoch, true
+}
+
+// ShardCount returns the number of shards of a zone, zero if it is not known yet.
+func (k *Keeper) ShardCount(zone string) int {
+	if zone == k.cfg.Zone {
+		return k.cfg.Shards
+	}
+	value, found := k.tables.Load(zone)
+	if !found {
+		return 0
+	}
+	return len(value.(*Table).Shards)
+}
+
+// Shutdown hands the VM's shards over with their state and returns once Run
+// has ended or the context has.
+func (k *Keeper) Shutdown(ctx context.Context) error {
+	if err := k.post(ctx, queuedEvent{event: Shutdown{}}); err != nil {
+		return err
+	}
+	select {
+	case <-k.stopped:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (k *Keeper) post(ctx context.Context, e queuedEvent) error {
+	select {
+	case k.events <- e:
+		return nil
+	case <-k.stopped:
+		return ErrStopped.New("shard keeper has ended")
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (k *Keeper) close() {
+	for i := range k.gates {
+		k.gates[i].Store(nil)
+	}
+	close(k.stopped)
+}
+
+func (k *Keeper) violated(invariant string) {
+	k.metrics.Tagged(map[string]string{"invariant": invariant}).Counter("violations").Inc(1)
+	k.log.Error("shard: invariant violated", zap.String("invariant", invariant))
+	if k.cfg.Violated != nil {
+		k.cfg.Violated(invariant)
+	}
+}
--- /dev/null
+++ b/shard/keeper_test.go
@@ -0,0 +1,203 @@
+package shard_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"auburngap/peer/peerpb"
+	"auburngap/platform"
+	"auburngap/platform/fake"
+	"auburngap/shard"
+)
+
+// zone runs keepers of one availability zone in one process.
+type zone struct {
+	service *fake.Service
+	mu      sync.Mutex
+	vms     map[string]*vm
+	start   time.Time
+}
+
+// vm is a keeper with its owner, which keeps a number for each shard.
+type vm struct {
+	zone   *zone
+	name   string
+	keeper *shard.Keeper
+	cancel context.CancelFunc
+
+	mu     sync.Mutex
+	states map[int]string
+	gained []string
+}
+
+func (z *zone) Now() time.Duration { return time.Hour + time.Since(z.start) }
+
+func (z *zone) VMs() []shard.Peer {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	var peers []shard.Peer
+	for name := range z.vms {
+		peers = append(peers, shard.Peer{VM: name})
+	}
+	return peers
+}
+
+func (z *zone) keeperOf(name string) (*shard.Keeper, error) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if z.vms[name] == nil {
+		return nil, platform.ErrUnavailable.New("no VM %s", name)
+	}
+	return z.vms[name].keeper, nil
+}
+
+func (z *zone) Confirm(ctx context.Context, to shard.Peer, m *peerpb.ShardConfirm) (*peerpb.ShardConfirmAnswer, error) {
+	k, err := z.keeperOf(to.VM)
+	if err != nil {
+		return nil, err
+	}
+	return k.AnswerConfirm(ctx, m)
+}
+
+func (z *zone) HandOver(ctx context.Context, to shard.Peer, m *peerpb.ShardHandover) (*peerpb.ShardHandoverAnswer, error) {
+	k, err := z.keeperOf(to.VM)
+	if err != nil {
+		return nil, err
+	}
+	return k.AnswerHandOver(ctx, m)
+}
+
+func (v *vm) Gained(s int, epoch uint64, inherited bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !inherited {
+		v.states[s] = "new"
+	}
+	v.gained = append(v.gained, fmt.Sprintf("%d epoch %d inherited %v", s, epoch, inherited))
+}
+
+func (v *vm) Lost(int) {}
+
+func (v *vm) Export(s int) []byte {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return []byte(v.states[s] + " from " + v.name)
+}
+
+func (v *vm) Import(s int, state []byte) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.states[s] = string(state)
+}
+
+func (z *zone) run(t *testing.T, name string) *vm {
+	t.Helper()
+	v := &vm{zone: z, name: name, states: map[int]string{}}
+	k, err := shard.NewKeeper(shard.KeeperConfig{
+		VM: name, Zone: "north", Address: netip.MustParseAddrPort("127.0.0.1:7000"), Shards: 2, Zones: []string{"north", "south"},
+		Platform: z.service, Peers: z, Owner: v, Clock: z, Violated: func(i string) { t.Error(i) },
+	})
+	assert.NilError(t, err)
+	v.keeper = k
+	ctx, cancel := context.WithCancel(t.Context())
+	v.cancel = cancel
+	z.mu.Lock()
+	z.vms[name] = v
+	z.mu.Unlock()
+	go func() { assert.Check(t, k.Run(ctx)) }()
+	return v
+}
+
+// stop kills a VM's process.
+func (z *zone) stop(v *vm) {
+	v.cancel()
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	delete(z.vms, v.name)
+}
+
+// owner returns the only VM that may act on a shard, or nil.
+func (z *zone) owner(t *testing.T, s int) *vm {
+	t.Helper()
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	var owner *vm
+	for _, v := range z.vms {
+		if _, ok := v.keeper.Live(s, z.Now()); ok {
+			assert.Assert(t, owner == nil, "two owners")
+			owner = v
+		}
+	}
+	return owner
+}
+
+func newZone(t *testing.T, vms ...string) *zone {
+	t.Helper()
+	z := &zone{service: fake.New(fake.Config{}), vms: map[string]*vm{}, start: time.Now()}
+	for _, name := range vms {
+		z.run(t, name)
+	}
+	time.Sleep(10 * time.Second)
+	return z
+}
+
+func TestKeepersShareAZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := newZone(t, "a", "b", "c")
+		owner := z.owner(t, 0)
+		assert.Assert(t, owner != nil)
+
+		named, address, epoch, ok := z.vms["a"].keeper.OwnerOf("north", 0)
+		assert.Assert(t, ok && epoch > 0 && address.IsValid())
+		assert.Equal(t, named, owner.name)
+
+		z.service.SetFaults(fake.Faults{Down: true})
+		time.Sleep(5 * time.Minute)
+		assert.Assert(t, z.owner(t, 0) == owner, "the owner goes on in an outage")
+		z.service.SetFaults(fake.Faults{})
+		time.Sleep(20 * time.Second)
+		assert.Assert(t, z.owner(t, 0) == owner, "and after it")
+
+		z.stop(owner)
+		time.Sleep(7 * time.Second)
+		successor := z.owner(t, 0)
+		assert.Assert(t, successor != nil && successor != owner)
+		assert.Equal(t, successor.states[0], "new")
+	})
+}
+
+func TestKeeperHandsOverState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := newZone(t, "a", "b", "c")
+		owner := z.owner(t, 0)
+		began := time.Now()
+		assert.NilError(t, owner.keeper.Shutdown(t.Context()))
+		z.stop(owner)
+		heir := z.owner(t, 0)
+		assert.Assert(t, heir != nil, "after %v", time.Since(began))
+		assert.Equal(t, heir.states[0], "new from "+owner.name)
+		assert.Assert(t, time.Since(began) < 2*time.Second)
+	})
+}
+
+func TestBootClockGoesOn(t *testing.T) {
+	clock := shard.BootClock{}
+	first := clock.Now()
+	assert.Assert(t, first > 0 && clock.Now() >= first)
+}
+
+func BenchmarkLive(b *testing.B) {
+	k, err := shard.NewKeeper(shard.KeeperConfig{VM: "a", Zone: "north", Shards: 8})
+	assert.NilError(b, err)
+	b.ReportAllocs()
+	for b.Loop() {
+		k.Live(3, k.Now())
+	}
+}
--- /dev/null
+++ b/shard/machine_test.go
@@ -0,0 +1,134 @@
+package shard
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// settled returns a zone whose shards are all owned.
+func settled(t *testing.T, vms, shards int) *sim {
+	t.Helper()
+	s := newSim(1, vms, shards, faults{})
+	s.run(10 * time.Second)
+	for i := range shards {
+		assert.Equal(t, len(s.owners(i)), 1, "shard %d of %+v", i, s.table)
+	}
+	return s
+}
+
+// unowned returns how long a shard had no owner within d, at most 50 ms out.
+func unowned(s *sim, shard int, d time.Duration) time.Duration {
+	const step = 50 * time.Millisecond
+	gone := time.Duration(0)
+	for range d / step {
+		s.run(step)
+		if len(s.owners(shard)) == 0 {
+			gone += step
+		}
+	}
+	return gone
+}
+
+func TestShardsAreOwnedAndSpread(t *testing.T) {
+	s := settled(t, 4, 16)
+	owners := map[string]int{}
+	for i := range 16 {
+		owners[s.owners(i)[0]]++
+	}
+	assert.Assert(t, len(owners) >= 3, "%v", owners)
+	assert.Equal(t, len(s.violations), 0)
+}
+
+func TestKilledOwnerIsReplaced(t *testing.T) {
+	s := settled(t, 4, 4)
+	s.nodes[s.owners(0)[0]].kill()
+	gone := unowned(s, 0, 20*time.Second)
+	t.Logf("unowned for %v", gone)
+	assert.Assert(t, gone <= 6*time.Second, "%v", gone)
+	assert.Equal(t, len(s.violations), 0)
+}
+
+func TestRestartedOwnerGoesOn(t *testing.T) {
+	s := settled(t, 4, 4)
+	owner := s.owners(0)[0]
+	s.nodes[owner].kill()
+	s.nodes[owner].start()
+	gone := unowned(s, 0, 10*time.Second)
+	t.Logf("unowned for %v", gone)
+	assert.Assert(t, gone <= 500*time.Millisecond, "%v", gone)
+	assert.Equal(t, s.owners(0)[0], owner)
+}
+
+func TestOutageDoesNotStopOwner(t *testing.T) {
+	s := settled(t, 4, 4)
+	owner := s.owners(0)[0]
+	s.outage = true
+	gone := unowned(s, 0, 5*time.Minute)
+	assert.Equal(t, gone, time.Duration(0))
+	s.outage = false
+	gone = unowned(s, 0, 30*time.Second)
+	assert.Equal(t, gone, time.Duration(0), "the platform is back")
+	assert.Equal(t, s.owners(0)[0], owner)
+	assert.Equal(t, len(s.violations), 0)
+}
+
+func TestRestartedOwnerGoesOnInOutage(t *testing.T) {
+	s := settled(t, 4, 4)
+	owner := s.owners(0)[0]
+	s.outage = true
+	s.run(30 * time.Second)
+	s.nodes[owner].kill()
+	s.nodes[owner].start()
+	gone := unowned(s, 0, time.Minute)
+	t.Logf("unowned for %v", gone)
+	assert.Assert(t, gone <= time.Second, "%v", gone)
+	assert.Equal(t, s.owners(0)[0], owner)
+}
+
+func TestOwnerThatAloneLostPlatformIsSucceeded(t *testing.T) {
+	s := settled(t, 4, 4)
+	owner := s.owners(0)[0]
+	s.nodes[owner].noPlatform = true
+	gone := unowned(s, 0, 20*time.Second)
+	t.Logf("unowned for %v", gone)
+	assert.Assert(t, gone <= 4*time.Second, "%v", gone)
+	assert.Assert(t, s.owners(0)[0] != owner)
+	assert.Equal(t, len(s.violations), 0)
+}
+
+func TestShutdownHandsOver(t *testing.T) {
+	s := settled(t, 4, 4)
+	owner := s.owners(0)[0]
+	handed := s.handed
+	s.nodes[owner].handle(Shutdown{}, nil)
+	gone := unowned(s, 0, 5*time.Second)
+	t.Logf("unowned for %v", gone)
+	assert.Assert(t, gone <= 100*time.Millisecond, "%v", gone)
+	assert.Assert(t, s.owners(0)[0] != owner)
+	assert.Assert(t, s.handed > handed)
+	assert.Assert(t, s.nodes[owner].machine == nil)
+}
+
+func TestMajorityGoneForGoodIsWaitedOut(t *testing.T) {
+	s := newSim(1, 4, 1, faults{})
+	s.timing.Horizon = time.Minute
+	for _, n := range s.nodes {
+		n.start()
+	}
+	s.run(10 * time.Second)
+	owner := s.owners(0)[0]
+	left := 1
+	for _, name := range s.names {
+		if name != owner && left > 0 {
+			left--
+			continue
+		}
+		s.nodes[name].kill()
+	}
+	gone := unowned(s, 0, 2*time.Minute)
+	t.Logf("unowned for %v", gone)
+	assert.Assert(t, gone > time.Minute && gone < 75*time.Second, "%v", gone)
+	assert.Equal(t, len(s.owners(0)), 1)
+}
--- /dev/null
+++ b/shard/random_test.go
@@ -0,0 +1,141 @@
+package shard
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes rapid's seed unless one is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		if err := f.Value.Set("4"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// faultNames are the things that a step of a random run may bring about.
+var faultNames = []string{
+	"run", "run", "run", "run", "run", "long", "pause", "resume", "resume", "kill", "start", "start",
+	"restart", "shutdown", "cut", "heal", "heal", "cutPlatform", "healPlatform", "outage", "healOutage", "messages",
+}
+
+// step brings about one thing; pick returns a number from 0 to n-1.
+func (s *sim) step(pick func(n int) int) string {
+	name := faultNames[pick(len(faultNames))]
+	n := s.nodes[s.names[pick(len(s.names))]]
+	other := s.names[pick(len(s.names))]
+	alive := n.machine != nil
+	switch name {
+	case "run":
+		s.run(time.Duration(1+pick(40)) * 50 * time.Millisecond)
+	case "long":
+		s.run(time.Duration(1+pick(10)) * time.Second)
+	case "pause":
+		n.paused = alive
+	case "resume":
+		n.resume()
+	case "kill":
+		n.kill()
+	case "start":
+		if !alive {
+			n.start()
+		}
+	case "restart":
+		n.kill()
+		n.start()
+	case "shutdown":
+		if alive && !n.paused {
+			n.handle(Shutdown{}, nil)
+		}
+	case "cut":
+		n.cut[other] = other != n.vm
+	case "heal":
+		clear(n.cut)
+	case "cutPlatform":
+		n.noPlatform = true
+	case "healPlatform":
+		n.noPlatform = false
+	case "outage":
+		s.outage = true
+	case "healOutage":
+		s.outage = false
+	case "messages":
+		s.drop, s.late, s.twice = float64(pick(3))*0.1, float64(pick(3))*0.1, float64(pick(2))*0.2
+	}
+	s.check()
+	return fmt.Sprintf("%v %s %s", s.now, name, n.vm)
+}
+
+// randomSim returns a zone with clocks off within the bound, already running.
+func randomSim(seed uint64, vms int, f faults, pick func(n int) int) *sim {
+	s := newSim(seed, vms, 2, f)
+	rate := func() float64 { return 1 + RateBound*float64(pick(3)-1) }
+	s.rate = rate()
+	for _, name := range s.names {
+		n := s.nodes[name]
+		n.kill()
+		n.rate = rate()
+		n.start()
+	}
+	s.run(6 * time.Second)
+	return s
+}
+
+func TestNoTwoOwners(t *testing.T) {
+	steps, gains := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		pick := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "pick") }
+		s := randomSim(rapid.Uint64().Draw(t, "seed"), 3+pick(3), faults{}, pick)
+		t.Repeat(map[string]func(*rapid.T){
+			"step": func(t *rapid.T) {
+				steps++
+				t.Log(s.step(pick))
+			},
+			"": func(t *rapid.T) { assert.Equal(t, len(s.violations), 0, "%v", s.violations) },
+		})
+		gains += s.gains
+	})
+	t.Logf("%d steps, shards gained %d times", steps, gains)
+}
+
+// walk runs one seed; it returns the trace and whether an invariant was violated.
+func walk(seed uint64, steps int, f faults) (trace []string, s *sim) {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	s = randomSim(seed, 3+int(seed%3), f, rng.IntN)
+	for range steps {
+		trace = append(trace, s.step(rng.IntN))
+		if len(s.violations) > 0 {
+			break
+		}
+	}
+	return trace, s
+}
+
+// TestSoak runs random walks for SOAK_MINUTES from SOAK_SEED on.
+func TestSoak(t *testing.T) {
+	minutes, err := strconv.ParseFloat(os.Getenv("SOAK_MINUTES"), 64)
+	if err != nil {
+		t.Skip("SOAK_MINUTES is not set")
+	}
+	seed, _ := strconv.ParseUint(os.Getenv("SOAK_SEED"), 10, 64)
+	end := time.Now().Add(time.Duration(minutes * float64(time.Minute)))
+	first, steps, gains := seed, 0, 0
+	for ; time.Now().Before(end); seed++ {
+		trace, s := walk(seed, 200, faults{})
+		steps += len(trace)
+		gains += s.gains
+		assert.Equal(t, len(s.violations), 0, "seed %d: %v\n%v", seed, s.violations, trace)
+	}
+	t.Logf("seeds %d to %d, %d steps, shards gained %d times", first, seed-1, steps, gains)
+}
--- /dev/null
+++ b/shard/sim_test.go
@@ -0,0 +1,377 @@
+package shard
+
+import (
+	"container/heap"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"auburngap/platform"
+)
+
+// sim joins machines by an in-memory platform and network with faults.
+type sim struct {
+	rng    *rand.Rand
+	now    time.Duration
+	queue  queue
+	nodes  map[string]*simNode
+	names  []string
+	timing Timing
+	faults faults
+	shards int
+
+	table         Table
+	tableRevision platform.Revision
+	revision      platform.Revision
+	candidates    map[string]Candidate
+	leases        map[platform.LeaseID]time.Duration
+	nextLease     platform.LeaseID
+	outage        bool
+	// rate is the platform's clock rate.
+	rate float64
+	// drop, late and twice are the chances that a message is lost, late, or doubled.
+	drop, late, twice float64
+
+	gains, handed int
+	violations    []string
+}
+
+type simNode struct {
+	sim         *sim
+	vm          string
+	machine     *Machine
+	incarnation int
+	rate        float64
+	paused      bool
+	waiting     []func()
+	noPlatform  bool
+	cut         map[string]bool
+	inherited   map[int]bool
+}
+
+type queued struct {
+	at  time.Duration
+	seq uint64
+	run func()
+}
+
+type queue struct {
+	items []queued
+	seq   uint64
+}
+
+func (q *queue) Len() int { return len(q.items) }
+func (q *queue) Less(i, j int) bool {
+	a, b := q.items[i], q.items[j]
+	return a.at < b.at || (a.at == b.at && a.seq < b.seq)
+}
+func (q *queue) Swap(i, j int) { q.items[i], q.items[j] = q.items[j], q.items[i] }
+func (q *queue) Push(x any)    { q.items = append(q.items, x.(queued)) }
+func (q *queue) Pop() any {
+	last := q.items[len(q.items)-1]
+	q.items = q.items[:len(q.items)-1]
+	return last
+}
+
+func newSim(seed uint64, vms, shards int, f faults) *sim {
+	s := &sim{
+		rng: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*simNode{}, timing: DefaultTiming(), shards: shards, faults: f,
+		table: NewTable(shards), candidates: map[string]Candidate{}, leases: map[platform.LeaseID]time.Duration{}, rate: 1,
+	}
+	for i := range vms {
+		name := fmt.Sprintf("vm%d", i)
+		s.names = append(s.names, name)
+		s.nodes[name] = &simNode{sim: s, vm: name, rate: 1, cut: map[string]bool{}, inherited: map[int]bool{}}
+		s.nodes[name].start()
+	}
+	return s
+}
+
+func (s *sim) after(d time.Duration, run func()) {
+	s.queue.seq++
+	heap.Push(&s.queue, queued{at: s.now + d, seq: s.queue.seq, run: run})
+}
+
+// run lets time pass, checking the invariant after each event.
+func (s *sim) run(d time.Duration) {
+	end := s.now + d
+	for s.queue.Len() > 0 && s.queue.items[0].at <= end {
+		next := heap.Pop(&s.queue).(queued)
+		s.now = next.at
+		next.run()
+		s.check()
+	}
+	s.now = end
+	s.check()
+}
+
+// check notes every shard on which two VMs may act now.
+func (s *sim) check() {
+	for i := range s.shards {
+		if owners := s.owners(i); len(owners) > 1 {
+			s.violations = append(s.violations, fmt.Sprintf("%v: shard %d owned by %v", s.now, i, owners))
+		}
+	}
+}
+
+func (s *sim) owners(shard int) []string {
+	var owners []string
+	for _, name := range s.names {
+		n := s.nodes[name]
+		if n.machine == nil {
+			continue
+		}
+		if _, until, ok := n.machine.Live(shard); ok && until > n.clock() {
+			owners = append(owners, name)
+		}
+	}
+	return owners
+}
+
+func (n *simNode) clock() time.Duration {
+	return time.Hour + time.Duration(float64(n.sim.now)*n.rate)
+}
+
+func (n *simNode) start() {
+	n.incarnation++
+	n.inherited = map[int]bool{}
+	cfg := Config{
+		VM: n.vm, Zone: "z", Address: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: fmt.Sprint(n.vm, "/", n.incarnation),
+		Shards: n.sim.shards, Timing: n.sim.timing, faults: n.sim.faults,
+		Violated: func(name string) { n.sim.violations = append(n.sim.violations, name) },
+	}
+	m, err := NewMachine(cfg, n.clock())
+	if err != nil {
+		panic(err)
+	}
+	n.machine = m
+	n.tick(n.incarnation)
+}
+
+func (n *simNode) tick(incarnation int) {
+	if n.machine == nil || n.incarnation != incarnation {
+		return
+	}
+	n.sim.after(100*time.Millisecond, func() { n.tick(incarnation) })
+	if !n.paused {
+		n.handle(Tick{VMs: n.sim.names}, nil)
+	}
+}
+
+func (n *simNode) kill() {
+	n.machine = nil
+	n.waiting = nil
+	n.paused = false
+}
+
+func (n *simNode) resume() {
+	n.paused = false
+	waiting := n.waiting
+	n.waiting = nil
+	for _, run := range waiting {
+		run()
+	}
+}
+
+// deliver runs now, at the resumption, or never if the process has ended.
+func (n *simNode) deliver(incarnation int, run func()) {
+	if n.machine == nil || n.incarnation != incarnation {
+		return
+	}
+	if n.paused {
+		n.waiting = append(n.waiting, func() { n.deliver(incarnation, run) })
+		return
+	}
+	run()
+}
+
+func (n *simNode) handle(event Event, reply func(Answer)) {
+	for _, action := range n.machine.Handle(event, n.clock()) {
+		n.perform(action, reply)
+		if n.machine == nil {
+			return
+		}
+	}
+}
+
+func (n *simNode) perform(action Action, reply func(Answer)) {
+	s := n.sim
+	sentAt := n.clock()
+	switch a := action.(type) {
+	case Read:
+		n.call(func() Event {
+			return Snapshot{Table: s.table.Clone(), Revision: s.tableRevision, Candidates: maps.Clone(s.candidates), SentAt: sentAt}
+		}, Snapshot{SentAt: sentAt, Err: platform.ErrUnavailable.New("lost")})
+	case Grant:
+		n.call(func() Event {
+			s.nextLease++
+			s.leases[s.nextLease] = s.now
+			return Granted{Lease: s.nextLease, SentAt: sentAt}
+		}, Granted{SentAt: sentAt, Err: platform.ErrUnavailable.New("lost")})
+	case PutLease:
+		n.call(func() Event { return LeasePut{Lease: a.Candidate.Lease, SentAt: sentAt, Err: s.putLease(a)} },
+			LeasePut{SentAt: sentAt, Err: platform.ErrUnavailable.New("lost")})
+	case Renew:
+		n.call(func() Event {
+			if _, ok := s.leases[a.Lease]; !ok {
+				return Renewed{Lease: a.Lease, SentAt: sentAt, Err: platform.ErrNotFound.New("lapsed")}
+			}
+			s.leases[a.Lease] = s.now
+			return Renewed{Lease: a.Lease, SentAt: sentAt}
+		}, Renewed{Lease: a.Lease, SentAt: sentAt, Err: platform.ErrUnavailable.New("lost")})
+	case Revoke:
+		n.call(func() Event { s.lapse(a.Lease); return nil }, nil)
+	case Write:
+		n.call(func() Event { return s.write(a, sentAt) }, Wrote{SentAt: sentAt, Err: platform.ErrUnavailable.New("lost")})
+	case Ask:
+		n.ask(a)
+	case Reply:
+		reply(a.Answer)
+	case Gain:
+		s.gains++
+		if a.Inherited {
+			s.handed++
+		}
+	case Export:
+		n.export(a)
+	case Left:
+		n.kill()
+	}
+}
+
+func (s *sim) lapse(lease platform.LeaseID) {
+	delete(s.leases, lease)
+	maps.DeleteFunc(s.candidates, func(_ string, c Candidate) bool { return c.Lease == lease })
+}
+
+func (s *sim) lapseAll() {
+	for _, id := range slices.Sorted(maps.Keys(s.leases)) {
+		if float64(s.now-s.leases[id])*s.rate >= float64(s.timing.Lease) {
+			s.lapse(id)
+		}
+	}
+}
+
+func (s *sim) putLease(a PutLease) error {
+	if s.candidates[a.Candidate.VM].Revision != a.IfRevision {
+		return platform.ErrConflict.New("lease key")
+	}
+	if _, ok := s.leases[a.Candidate.Lease]; !ok {
+		return platform.ErrNotFound.New("lapsed")
+	}
+	s.revision++
+	c := a.Candidate
+	c.Revision = s.revision + 1<<32
+	s.candidates[c.VM] = c
+	return nil
+}
+
+func (s *sim) write(a Write, sentAt time.Duration) Event {
+	if a.IfRevision != s.tableRevision {
+		return Wrote{SentAt: sentAt, Err: platform.ErrConflict.New("table")}
+	}
+	s.revision++
+	s.tableRevision = s.revision
+	s.table = a.Table.Clone()
+	return Wrote{Table: a.Table.Clone(), Revision: s.revision, SentAt: sentAt}
+}
+
+// delay returns how long a message takes, and whether it is lost.
+func (s *sim) delay() (time.Duration, bool) {
+	d := time.Duration(s.rng.Int64N(int64(5 * time.Millisecond)))
+	if s.rng.Float64() < s.late {
+		d += time.Duration(s.rng.Int64N(int64(6 * time.Second)))
+	}
+	return d, s.rng.Float64() < s.drop
+}
+
+// call sends a platform call; if no answer comes within a second, failed is
+// the event, though the call may still take effect.
+func (n *simNode) call(apply func() Event, failed Event) {
+	s := n.sim
+	incarnation := n.incarnation
+	done := false
+	finish := func(e Event) {
+		n.deliver(incarnation, func() {
+			if !done && e != nil {
+				done = true
+				n.handle(e, nil)
+			}
+		})
+	}
+	s.after(time.Second, func() { finish(failed) })
+	d, lost := s.delay()
+	if lost {
+		return
+	}
+	s.after(d, func() {
+		if s.outage || n.noPlatform {
+			return
+		}
+		s.lapseAll()
+		event := apply()
+		back, lost := s.delay()
+		if !lost {
+			s.after(back, func() {
+				if !n.noPlatform {
+					finish(event)
+				}
+			})
+		}
+	})
+}
+
+func (n *simNode) ask(a Ask) {
+	s := n.sim
+	from := n.incarnation
+	to := s.nodes[a.To]
+	if to == nil {
+		return
+	}
+	times := 1
+	if s.rng.Float64() < s.twice {
+		times = 2
+	}
+	for range times {
+		d, lost := s.delay()
+		if lost {
+			continue
+		}
+		s.after(d, func() {
+			if n.cut[a.To] || to.cut[n.vm] || to.machine == nil {
+				return
+			}
+			to.deliver(to.incarnation, func() {
+				to.handle(Asked{From: n.vm, Request: a.Request}, func(answer Answer) { to.answer(n, from, answer) })
+			})
+		})
+	}
+}
+
+func (n *simNode) answer(to *simNode, incarnation int, answer Answer) {
+	d, lost := n.sim.delay()
+	if lost {
+		return
+	}
+	n.sim.after(d, func() {
+		if n.cut[to.vm] || to.cut[n.vm] {
+			return
+		}
+		to.deliver(incarnation, func() { to.handle(Answered{From: n.vm, Answer: answer}, nil) })
+	})
+}
+
+func (n *simNode) export(a Export) {
+	to := n.sim.nodes[a.To]
+	incarnation := n.incarnation
+	event := Exported{Shard: a.Shard}
+	if to.machine == nil || to.paused || n.cut[a.To] || to.cut[n.vm] {
+		event.Err = platform.ErrUnavailable.New("heir")
+	} else {
+		event.Incarnation = to.machine.cfg.Incarnation
+	}
+	n.sim.after(time.Millisecond, func() { n.deliver(incarnation, func() { n.handle(event, nil) }) })
+}
--- a/spec/shard.pml
+++ b/spec/shard.pml
@@ -61,8 +61,8 @@
 /* The platform: the table with its history, and the lease of its owner. */
 byte version = 1;
 byte owner[VERSIONS + 1];
-bit unreleased;       /* the entry lists witnesses that have yet to release */
-bit entryMine = 1;    /* the owner's present process wrote the entry */
+bit settled[VERSIONS + 1]; /* this version's entry lists no witnesses that have yet to release */
+bit mine[VERSIONS + 1];    /* its entry names the lease of the owner's present process */
 bit present = 1;      /* the owner's lease has not lapsed at the platform */
 byte lapse = LEASE;   /* ticks until it may */
 
@@ -119,28 +119,44 @@
   fi
 }
 
+/* Takes in what the table says of the VM itself. */
+inline seeEntry(i) {
+  if
+  :: owner[known[i]] == i ->
+     if :: mine[known[i]] -> bound[i] = 1 :: else fi;
+     if :: settled[known[i]] -> released[i] = 1 :: else fi
+  :: else
+  fi
+}
+
 inline readTable(i) {
   learn(i, version);
   mute[i] = 0;
 #if HORIZON
   fresh[i] = HORIZON;
 #endif
-  if
-  :: owner[version] == i ->
-     if :: entryMine -> bound[i] = 1 :: else fi;
-     if :: !unreleased -> released[i] = 1 :: else fi
-  :: else
-  fi
+  seeEntry(i)
 }
 
-#define CONFLICT(j) pending[j] = 0; late[j] = 0; handing[j] = 0
+#define CONFLICT(j) \
+  if :: pending[j] > 0 || handing[j] > 0 -> printf("STEP conflict vm %d\n", j); pending[j] = 0; handing[j] = 0 :: else fi; \
+  late[j] = 0
+
+/* Entries that name a VM's earlier lease bind it no more. */
+#define FORGET_LEASE_AT(vm, v) if :: owner[v] == vm -> mine[v] = 0 :: else fi
+#if VERSIONS == 2
+#define FORGET_LEASE(vm) FORGET_LEASE_AT(vm, 1); FORGET_LEASE_AT(vm, 2)
+#else
+#define FORGET_LEASE(vm) FORGET_LEASE_AT(vm, 1); FORGET_LEASE_AT(vm, 2); FORGET_LEASE_AT(vm, 3)
+#endif
 
 /* The platform's lease starts with the table write that names it. Writes in
  * flight that compare with an older version can only conflict.
  * The lease that a new entry names was joined after any earlier one of that
  * owner had lapsed, so what the owner knew of an earlier one is void. */
-inline write(vm, mine) {
-  version++; owner[version] = vm; entryMine = mine; present = 1; lapse = LEASE;
+inline write(vm, named) {
+  version++; owner[version] = vm; present = 1; lapse = LEASE;
+  FORGET_LEASE(vm); mine[version] = named;
   bound[vm] = 0; lease[vm] = 0; call[vm] = 0;
   CONFLICT(0); CONFLICT(1); CONFLICT(2)
 }
@@ -173,7 +189,7 @@
 #endif
 
 #define PEER(j) \
-  :: d_step { known[j] > known[i] -> printf("STEP hear vm %d\n", i); learn(i, known[j]) } \
+  :: d_step { known[j] > known[i] -> printf("STEP hear vm %d\n", i); learn(i, known[j]); seeEntry(i) } \
   :: d_step { owner[known[j]] == j && !released[j] && known[i] == known[j] && !(releases[j] & (1 << i)) && MAY_RELEASE(i) -> \
        printf("STEP release vm %d\n", i); releases[j] = releases[j] | (1 << i) } \
   :: d_step { round[j] > 0 && known[i] == known[j] && !(confirms[j] & (1 << i)) && MAY_CONFIRM(i) -> \
@@ -182,29 +198,29 @@
 proctype VM(byte i) {
   do
   /* The lease: a renewal reaches the platform; its answer comes late, or never. */
-  :: d_step { owner[version] == i && entryMine && present && bound[i] && !left[i] && (lapse < LEASE || call[i] < OWNER) ->
+  :: d_step { owner[version] == i && mine[version] && present && bound[i] && !left[i] && (lapse < LEASE || call[i] < OWNER) ->
        printf("STEP renew vm %d\n", i); call[i] = OWNER; SENT(i); lapse = LEASE }
   :: d_step { IN_CALL(i) -> printf("STEP renewed vm %d\n", i); lease[i] = READING(i); call[i] = 0 }
 
   /* The table. */
-  :: d_step { known[i] < version || mute[i] || (owner[version] == i && ((entryMine && !bound[i]) || (!released[i] && !unreleased))) || STALE(i) ->
+  :: d_step { known[i] < version || mute[i] || (owner[version] == i && ((mine[version] && !bound[i]) || (!released[i] && settled[version]))) || STALE(i) ->
        printf("STEP read vm %d\n", i); readTable(i) }
   :: d_step { !left[i] && pending[i] == 0 && version < VERSIONS && owner[version] != i && LAPSED ->
        printf("STEP ownerLapsed vm %d\n", i); readTable(i); pending[i] = version }
   :: d_step { pending[i] > 0 && pending[i] == version ->
-       printf("STEP take vm %d\n", i); unreleased = 1; write(i, !late[i]) }
-  :: d_step { owner[version] == i && known[i] == version && !left[i] && (!entryMine || !present) && version < VERSIONS ->
+       printf("STEP take vm %d\n", i); pending[i] = 0; write(i, !late[i]) }
+  :: d_step { owner[version] == i && known[i] == version && !left[i] && (!mine[version] || !present) && version < VERSIONS ->
        printf("STEP retake vm %d\n", i);
 #ifdef FAULT_NO_BIND
-       bound[i] = 1; lease[i] = OWNER; entryMine = 1; present = 1; lapse = LEASE
+       bound[i] = 1; lease[i] = OWNER; mine[version] = 1; present = 1; lapse = LEASE
 #else
-       write(i, 1)
+       write(i, 1); settled[version] = settled[version - 1]
 #endif
      }
 
   /* Releases. */
-  :: d_step { owner[known[i]] == i && known[i] == version && unreleased && released[i] ->
-       printf("STEP settle vm %d\n", i); unreleased = 0 }
+  :: d_step { owner[known[i]] == i && known[i] == version && !settled[version] && released[i] ->
+       printf("STEP settle vm %d\n", i); settled[version] = 1 }
   :: d_step { owner[known[i]] == i && !released[i] && MAJORITY(releases[i]) ->
        printf("STEP released vm %d\n", i); released[i] = 1; releases[i] = 0 }
 #if HORIZON
@@ -232,14 +248,14 @@
 #endif
      }
   :: d_step { handing[i] > 0 && handing[i] == version ->
-       printf("STEP handedOver vm %d\n", i); unreleased = 1; write((i + 1) % N, 1) }
+       printf("STEP handedOver vm %d\n", i); handing[i] = 0; write((i + 1) % N, 1) }
 
   /* The VM's process is killed and another starts in its slot. */
   :: d_step { restarts < RESTARTS ->
        printf("STEP restart vm %d\n", i); restarts++;
        known[i] = 0; forgetRole(i); left[i] = 0; given[i] = 0;
        late[i] = (pending[i] > 0);
-       if :: owner[version] == i -> entryMine = 0 :: else fi;
+       FORGET_LEASE(i);
 #ifndef FAULT_RESTART_CONFIRMS
        mute[i] = 1;
 #endif
@@ -267,7 +283,7 @@
 
 active proctype Clock() {
   d_step {
-    owner[0] = N; owner[1] = 0; known[0] = 1; known[1] = 1; known[2] = 1;
+    owner[0] = N; owner[1] = 0; settled[1] = 1; mine[1] = 1; known[0] = 1; known[1] = 1; known[2] = 1;
     bound[0] = 1; released[0] = 1; lease[0] = OWNER
 #if HORIZON
     ; fresh[0] = HORIZON; fresh[1] = HORIZON; fresh[2] = HORIZON
