Probe for shed demand once a server has room

Demand of a priority that is admitted by less than the readable share kept its last estimate. Such an estimate now decays while a server has a tenth of its slots free.

--- a/admission/levels.go
+++ b/admission/levels.go
@@ -17,6 +17,9 @@
 	rateMargin = 1.05
 	// readableShare is the least admitted share that demand is inferred from.
 	readableShare = 1.0 / 1024
+	// spareOccupancy is the part of the slots in use below which there is room
+	// for requests that no admitted share tells anything of.
+	spareOccupancy = 0.9
 	// readableRate is the least departures a window that capacity is inferred from.
 	readableRate = 0.05
 )
@@ -78,12 +81,16 @@
 	a := &l.averages
 	a.departures = keep*a.departures + gain*l.window.departures
 	a.held = keep*a.held + gain*l.window.held
+	spare := a.held < spareOccupancy*float64(limit)*levelWindow.Seconds()
 	for priority := range a.arrivals {
 		a.arrivals[priority] = keep*a.arrivals[priority] + gain*l.window.arrivals[priority]
 		admitted := admittedShare(l.level, request.Priority(priority))
 		l.share[priority] = keep*l.share[priority] + (1-keep)*admitted
 		if l.share[priority] >= readableShare {
 			l.demand[priority] = a.arrivals[priority] / l.share[priority]
+		} else if spare {
+			// What was shed may have gone: probe for it.
+			l.demand[priority] *= keep
 		}
 	}
 	l.window = levelCounts{}
