Hold workspaces to their rate through the shards' owners

Each node keeps its zone's shards from the first bundle on, lends and borrows tokens over the sessions, and hands shards over with their tokens when it drains. A token goes back when its request ends not run.

Shown by: go test ./e2e: ok.

--- a/bundle/index.go
+++ b/bundle/index.go
@@ -191,3 +191,12 @@
 	}
 	return path
 }
+
+// ZoneNames returns the names of the availability zones.
+func (x *Index) ZoneNames() []string {
+	names := make([]string, len(x.Bundle.Zones))
+	for i, zone := range x.Bundle.Zones {
+		names[i] = zone.Name
+	}
+	return names
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -7,21 +7,41 @@
 	"auburngap/admission"
 	"auburngap/bundle"
 	"auburngap/request"
+	"auburngap/share"
 )
 
 // overloadRetryAfter is the least time that a shed caller is asked to wait.
 const overloadRetryAfter = time.Second
 
-// entry takes the requests of callers whose keys were checked: it sheds whole
-// requests under overload and hands the others to the router.
+// entry takes the requests of callers whose keys were checked: it holds each
+// workspace to its rate, sheds whole requests under overload and hands the
+// others on.
 type entry struct {
 	bundle func() *bundle.Index
+	rates  *share.Client
 	gate   *gate
 	next   request.Handler
 }
 
 // Serve implements request.Handler.
 func (e *entry) Serve(ctx context.Context, call *request.Call) (*request.Answer, error) {
+	if call.Context.Workspace == "" {
+		return e.serve(ctx, call)
+	}
+	ticket, refusal := e.rates.Take(ctx, call.Context.Workspace)
+	if refusal != nil {
+		refusal.Report.UnspentRetries = call.Context.RetryBudget
+		return nil, refusal
+	}
+	answer, err := e.serve(ctx, call)
+	if err != nil && request.AsRefusal(err).Outcome == request.NotRun {
+		e.rates.GiveBack(ticket)
+	}
+	return answer, err
+}
+
+// serve sheds or hands on a request that is within its workspace's rate.
+func (e *entry) serve(ctx context.Context, call *request.Call) (*request.Answer, error) {
 	index := e.bundle()
 	weight := 1.0
 	if workspace, ok := index.Workspace(call.Context.Workspace); ok {
--- a/node/node.go
+++ b/node/node.go
@@ -59,10 +59,13 @@
 	announced  *announcements
 	membership *membership
 	directory  *directory.Directory
-	routes     *routes
-	local      *localHandler
-	tokens     *backend.Tokens
-	pool       *peer.Pool
+	shards     *shards
+	// firstBundle holds the bundle by which the shards are kept.
+	firstBundle chan *bundle.Index
+	routes      *routes
+	local       *localHandler
+	tokens      *backend.Tokens
+	pool        *peer.Pool
 
 	backendClient *backend.Client
 	callers       *caller.Server
@@ -78,8 +81,9 @@
 		return nil, ErrStart.Wrap(err, "incarnation")
 	}
 	n := &Node{
-		config: config,
-		logger: config.Logger,
+		config:      config,
+		logger:      config.Logger,
+		firstBundle: make(chan *bundle.Index, 1),
 		identity: peer.Identity{
 			VM:          config.Settings.VM,
 			Zone:        config.Settings.AvailabilityZone,
@@ -128,7 +132,16 @@
 		gate:   gate,
 		policy: retry.NewPolicy(retry.Config{}),
 	}
-	entry := &entry{bundle: n.bundles.Index, gate: gate, next: router}
+	n.shards = newShards(shardsConfig{
+		Self:      n.identity,
+		Address:   s.PeerAddress,
+		Platform:  n.config.Platform,
+		Pool:      n.pool,
+		Directory: n.directory,
+		Bundle:    n.bundles.Index,
+		Logger:    n.logger,
+	})
+	entry := &entry{bundle: n.bundles.Index, rates: n.shards.rates, gate: gate, next: router}
 	n.callers = caller.New(caller.Config{
 		Bundle:      n.bundles.Index,
 		Next:        entry,
@@ -143,6 +156,7 @@
 		Logger:     n.logger,
 	})
 	n.peers = peer.NewServer(peer.ServerConfig{Self: n.identity, TLS: peerTLS, Calls: n.local, Logger: n.logger})
+	n.shards.Handle(n.peers)
 	n.peers.HandleStream(peer.KindAnnounce, n.directory.HandleStream)
 	n.control = newControlServer(n)
 	return nil
@@ -150,6 +164,11 @@
 
 // apply subscribes to the services that a bundle in force makes this node call.
 func (n *Node) apply(index *bundle.Index) {
+	n.shards.Apply(index)
+	select {
+	case n.firstBundle <- index:
+	default:
+	}
 	n.directory.SetServices(n.calledServices(index))
 }
 
@@ -182,11 +201,7 @@
 	if index == nil {
 		return nil
 	}
-	names := make([]string, len(index.Bundle.Zones))
-	for i, zone := range index.Bundle.Zones {
-		names[i] = zone.Name
-	}
-	return names
+	return index.ZoneNames()
 }
 
 // Run serves until the context ends, then drains and returns.
@@ -211,6 +226,7 @@
 	group.Go(func() error { return n.control.Serve(control) })
 	group.Go(func() error { return n.peers.Serve(serving, peers) })
 	group.Go(func() error { return n.directory.Run(serving) })
+	group.Go(func() error { return n.shards.Run(serving, n.firstBundle) })
 	group.Go(func() error { return n.membership.Run(serving) })
 	group.Go(func() error {
 		<-ctx.Done()
@@ -235,6 +251,7 @@
 	if err := n.peers.Drain(ctx); err != nil {
 		n.logger.Warn("node: calls of other nodes were cut", zap.Error(err))
 	}
+	n.shutdown(ctx, "shards", n.shards.Shutdown)
 	n.shutdown(ctx, "backend server", n.backends.Shutdown)
 	n.shutdown(ctx, "control", n.control.Shutdown)
 	n.pool.Close()
--- /dev/null
+++ b/node/shard_owner.go
@@ -0,0 +1,107 @@
+package node
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"auburngap/peer"
+	"auburngap/peer/peerpb"
+	"auburngap/shard"
+)
+
+// errNoOwner means that the owner of a shard is not known.
+var errNoOwner = errs.NewType("noOwner")
+
+// Gained implements shard.Owner.
+func (s *shards) Gained(index int, epoch uint64, inherited bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// A new epoch of a shard that was not lost goes on with its own state.
+	state := s.take(index)
+	if !inherited {
+		state = &peerpb.ShardState{}
+	}
+	s.bank.Gained(index, epoch, state.GetShare())
+}
+
+// take returns what is kept of a shard, or its running state where it was not lost.
+func (s *shards) take(index int) *peerpb.ShardState {
+	if state, ok := s.kept[index]; ok {
+		delete(s.kept, index)
+		return state
+	}
+	return s.end(index)
+}
+
+// end ends the ownership of a shard here and returns its state.
+func (s *shards) end(index int) *peerpb.ShardState {
+	return &peerpb.ShardState{Share: s.bank.Lost(index)}
+}
+
+// Lost implements shard.Owner.
+func (s *shards) Lost(index int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.kept[index] = s.end(index)
+}
+
+// Export implements shard.Owner.
+func (s *shards) Export(index int) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state, ok := s.kept[index]
+	if !ok {
+		return nil
+	}
+	delete(s.kept, index)
+	data, err := proto.Marshal(state)
+	if err != nil {
+		s.config.Logger.Error("shard: state cannot be handed over", zap.Int("shard", index), zap.Error(err))
+		return nil
+	}
+	return data
+}
+
+// Import implements shard.Owner.
+func (s *shards) Import(index int, data []byte) {
+	var state peerpb.ShardState
+	if err := proto.Unmarshal(data, &state); err != nil {
+		s.config.Logger.Error("shard: state cannot be taken over", zap.Int("shard", index), zap.Error(err))
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.kept[index] = &state
+}
+
+// VMs implements shard.Peers by the zone's relays, which every node knows
+// without the platform.
+func (s *shards) VMs() []shard.Peer {
+	var peers []shard.Peer
+	for _, relay := range s.config.Directory.Relays() {
+		if relay.Zone == s.config.Self.Zone {
+			peers = append(peers, shard.Peer{VM: relay.VM, Address: relay.Address})
+		}
+	}
+	return peers
+}
+
+// Confirm implements shard.Peers.
+func (s *shards) Confirm(ctx context.Context, to shard.Peer, question *peerpb.ShardConfirm) (*peerpb.ShardConfirmAnswer, error) {
+	answer := &peerpb.ShardConfirmAnswer{}
+	if err := peer.Ask(ctx, s.config.Pool, to.Address, peer.KindConfirm, question, answer); err != nil {
+		return nil, err
+	}
+	return answer, nil
+}
+
+// HandOver implements shard.Peers.
+func (s *shards) HandOver(ctx context.Context, to shard.Peer, handover *peerpb.ShardHandover) (*peerpb.ShardHandoverAnswer, error) {
+	answer := &peerpb.ShardHandoverAnswer{}
+	if err := peer.Ask(ctx, s.config.Pool, to.Address, peer.KindHandover, handover, answer); err != nil {
+		return nil, err
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/node/shards.go
@@ -0,0 +1,183 @@
+package node
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"auburngap/bundle"
+	"auburngap/directory"
+	"auburngap/peer"
+	"auburngap/peer/peerpb"
+	"auburngap/platform"
+	"auburngap/shard"
+	"auburngap/share"
+)
+
+// shardsConfig configures shards.
+type shardsConfig struct {
+	Self      peer.Identity
+	Address   netip.AddrPort
+	Platform  platform.Client
+	Pool      *peer.Pool
+	Directory *directory.Directory
+	Bundle    func() *bundle.Index
+	Logger    *zap.Logger
+}
+
+// shards runs this VM's part in the ownership of its zone's shards, and what
+// rests on it: the tokens of the workspaces' rates.
+type shards struct {
+	config shardsConfig
+	keeper atomic.Pointer[shard.Keeper]
+	rates  *share.Client
+	bank   *share.Owner
+
+	mu sync.Mutex
+	// kept holds the state of shards that were lost, until they are handed on
+	// or gained again.
+	kept map[int]*peerpb.ShardState
+}
+
+func newShards(config shardsConfig) *shards {
+	s := &shards{config: config, kept: make(map[int]*peerpb.ShardState)}
+	s.rates = share.NewClient(share.ClientConfig{Zone: config.Self.Zone, Peers: s, Clock: bootTime})
+	s.bank = share.NewOwner(share.OwnerConfig{Zone: config.Self.Zone, Gate: s, Peers: s, Clock: bootTime})
+	return s
+}
+
+// bootTime reads the clock that goes on while the VM is suspended.
+func bootTime() time.Duration {
+	return shard.BootClock{}.Now()
+}
+
+// Handle registers the messages between owners, witnesses and borrowers.
+func (s *shards) Handle(server *peer.Server) {
+	server.Handle(peer.KindDraw, s.onDraw)
+	server.Handle(peer.KindConfirm, s.onConfirm)
+	server.Handle(peer.KindHandover, s.onHandover)
+}
+
+// Apply puts a bundle into force.
+func (s *shards) Apply(index *bundle.Index) {
+	s.rates.Apply(index)
+	s.bank.Apply(index)
+}
+
+// Run keeps shards from the first bundle on, until the context ends.
+func (s *shards) Run(ctx context.Context, first <-chan *bundle.Index) error {
+	var index *bundle.Index
+	select {
+	case index = <-first:
+	case <-ctx.Done():
+		return nil
+	}
+	zone, ok := index.Zone(s.config.Self.Zone)
+	if !ok {
+		s.config.Logger.Error("shard: the bundle does not name this availability zone")
+		return nil
+	}
+	keeper, err := shard.NewKeeper(shard.KeeperConfig{
+		VM:          s.config.Self.VM,
+		Zone:        zone.Name,
+		Address:     s.config.Address,
+		Shards:      zone.Shards,
+		Zones:       index.ZoneNames(),
+		Platform:    s.config.Platform,
+		Peers:       s,
+		Owner:       s,
+		Clock:       shard.BootClock{},
+		Incarnation: s.config.Self.Incarnation.String(),
+		Logger:      s.config.Logger,
+	})
+	if err != nil {
+		return err
+	}
+	s.keeper.Store(keeper)
+	return keeper.Run(ctx)
+}
+
+// Shutdown gives borrowed tokens back and hands the shards over.
+func (s *shards) Shutdown(ctx context.Context) error {
+	s.rates.Close()
+	keeper := s.keeper.Load()
+	if keeper == nil {
+		return nil
+	}
+	return keeper.Shutdown(ctx)
+}
+
+// Live implements share.Gate.
+func (s *shards) Live(index int, now time.Duration) (uint64, bool) {
+	keeper := s.keeper.Load()
+	if keeper == nil {
+		return 0, false
+	}
+	ownership, ok := keeper.Live(index, now)
+	return ownership.Epoch, ok
+}
+
+// Draw implements share.Peers.
+func (s *shards) Draw(ctx context.Context, draw *peerpb.Draw) (*peerpb.DrawAnswer, error) {
+	vm, address, err := s.ownerOf(draw.GetAvailabilityZone(), int(draw.GetShard()))
+	if err != nil {
+		return nil, err
+	}
+	if vm == s.config.Self.VM {
+		return s.bank.HandleDraw(ctx, draw), nil
+	}
+	answer := &peerpb.DrawAnswer{}
+	if err := peer.Ask(ctx, s.config.Pool, address, peer.KindDraw, draw, answer); err != nil {
+		return nil, err
+	}
+	return answer, nil
+}
+
+func (s *shards) ownerOf(zone string, index int) (string, netip.AddrPort, error) {
+	keeper := s.keeper.Load()
+	if keeper == nil {
+		return "", netip.AddrPort{}, errNoOwner.New("shards are not kept yet")
+	}
+	vm, address, _, ok := keeper.OwnerOf(zone, index)
+	if !ok {
+		return "", netip.AddrPort{}, errNoOwner.New("shard %d of %s", index, zone)
+	}
+	return vm, address, nil
+}
+
+func (s *shards) onDraw(ctx context.Context, _ peer.Identity, payload []byte) (proto.Message, error) {
+	var draw peerpb.Draw
+	if err := peer.Decode(payload, &draw); err != nil {
+		return nil, err
+	}
+	return s.bank.HandleDraw(ctx, &draw), nil
+}
+
+func (s *shards) onConfirm(ctx context.Context, _ peer.Identity, payload []byte) (proto.Message, error) {
+	var question peerpb.ShardConfirm
+	if err := peer.Decode(payload, &question); err != nil {
+		return nil, err
+	}
+	keeper := s.keeper.Load()
+	if keeper == nil {
+		return nil, errNoOwner.New("shards are not kept yet")
+	}
+	return keeper.AnswerConfirm(ctx, &question)
+}
+
+func (s *shards) onHandover(ctx context.Context, _ peer.Identity, payload []byte) (proto.Message, error) {
+	var handover peerpb.ShardHandover
+	if err := peer.Decode(payload, &handover); err != nil {
+		return nil, err
+	}
+	keeper := s.keeper.Load()
+	if keeper == nil {
+		return nil, errNoOwner.New("shards are not kept yet")
+	}
+	return keeper.AnswerHandOver(ctx, &handover)
+}
