--- a/bundle/index.go
+++ b/bundle/index.go
@@ -174,3 +174,29 @@
 	}
 	return time.Duration(d)
 }
+
+// Path returns a service and all services that a call to it may reach.
+func (x *Index) Path(service string) []string {
+	path := []string{service}
+	for i := 0; i < len(path); i++ {
+		s, ok := x.services[path[i]]
+		if !ok {
+			continue
+		}
+		for _, next := range s.Calls {
+			if !slices.Contains(path, next) {
+				path = append(path, next)
+			}
+		}
+	}
+	return path
+}
+
+// ZoneNames returns the names of the availability zones.
+func (x *Index) ZoneNames() []string {
+	names := make([]string, len(x.Bundle.Zones))
+	for i, zone := range x.Bundle.Zones {
+		names[i] = zone.Name
+	}
+	return names
+}
