--- /dev/null
+++ b/bundle/follower_test.go
@@ -0,0 +1,75 @@
+package bundle_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"auburngap/bundle"
+	"auburngap/platform/fake"
+)
+
+func newFollower(d *desk) *bundle.Follower {
+	return bundle.NewFollower(bundle.FollowerConfig{Client: d.service, Roots: rootTrust()})
+}
+
+func TestFollowerPassesProofsOn(t *testing.T) {
+	d, _ := history(t, 15) // with changes of operators
+	relay, node := newFollower(d), newFollower(d)
+	version, proof, err := relay.Head(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, version, uint64(15))
+	assert.NilError(t, node.Verify(version, proof))
+	assert.Equal(t, node.Highest(), uint64(0))
+	node.Offer(version, proof)
+	assert.Equal(t, node.Highest(), version)
+	assert.Assert(t, node.Verify(version+1, proof) != nil)
+
+	d.accept(testBundle(t))
+	version, proof, err = relay.Next(t.Context(), version)
+	assert.NilError(t, err)
+	node.Offer(version, proof)
+	assert.Equal(t, node.Highest(), uint64(16))
+}
+
+// TestFollowerRefusesForks: withdrawn operators cannot lead a node elsewhere,
+// though their own chain of sign-offs starts at the same roots.
+func TestFollowerRefusesForks(t *testing.T) {
+	d, fork := newDesk(t), newDesk(t)
+	d.accept(testBundle(t))
+	reduced := testBundle(t)
+	reduced.Operators = reduced.Operators[:2]
+	d.accept(reduced)
+	for range 3 {
+		fork.accept(testBundle(t))
+	}
+	var refused error
+	node := bundle.NewFollower(bundle.FollowerConfig{
+		Client: d.service, Roots: rootTrust(),
+		OnRefused: func(_ uint64, err error) { refused = err },
+	})
+	version, proof, err := newFollower(d).Head(t.Context())
+	assert.NilError(t, err)
+	node.Offer(version, proof)
+	version, proof, err = newFollower(fork).Head(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, version, uint64(3))
+	node.Offer(version, proof)
+	assertType(t, refused, bundle.ErrForged)
+	assert.Equal(t, node.Highest(), uint64(2))
+}
+
+func TestFollowerCallsPlatformOnceWhereNothingChanged(t *testing.T) {
+	d, _ := history(t, 3)
+	relay := newFollower(d)
+	_, _, err := relay.Head(t.Context())
+	assert.NilError(t, err)
+	before := d.service.Counts()
+	_, _, err = relay.Head(t.Context())
+	assert.NilError(t, err)
+	before.Get++
+	assert.DeepEqual(t, d.service.Counts(), before)
+	d.service.SetFaults(fake.Faults{Down: true})
+	_, _, err = relay.Head(t.Context())
+	assert.Assert(t, err != nil)
+}
--- a/bundle/tracker.go
+++ b/bundle/tracker.go
@@ -13,6 +13,8 @@
 	pending []*Version
 	inForce *Index
 	recent  []Record
+	// links are whole records of the versions that changed who signs.
+	links []Record
 }
 
 // NewTracker returns a tracker that trusts the operators of the settings for
@@ -49,6 +51,9 @@
 	}
 	t.keep(record)
 	t.held = next
+	if header.TrustChanged {
+		t.links = append(t.links, next.Whole())
+	}
 	t.pending = append(t.pending, next)
 	return Verdict{Accepted: true}, nil
 }
@@ -112,6 +117,16 @@
 	return []Record{t.held.Whole()}
 }
 
+// Proof returns the records that lead one who trusts the same roots to the
+// version held: a whole record of each change of operators, and of the version.
+func (t *Tracker) Proof() []Record {
+	proof := slices.Clone(t.links)
+	if t.held.Record.Header.TrustChanged || t.Held() == 0 {
+		return proof
+	}
+	return append(proof, t.held.Whole())
+}
+
 // Whole returns the version's record with every section in it.
 func (v *Version) Whole() Record {
 	record := v.Record
--- a/bundle/version.go
+++ b/bundle/version.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b, err := v.patched(record.Delta, sections, header.Version)
+	b, err := v.patched(sections, header.Version)
 	if err != nil {
 		return nil, err
 	}
@@ -82,11 +82,12 @@
 	return own
 }
 
-// patched returns the bundle after a delta, decoding only what changed.
-func (v *Version) patched(delta Delta, sections Sections, version uint64) (*Bundle, error) {
-	if delta.Whole() || v.Bundle == nil {
+// patched returns the bundle of other sections, decoding only what changed.
+func (v *Version) patched(sections Sections, version uint64) (*Bundle, error) {
+	if v.Bundle == nil {
 		return sections.Join(version)
 	}
+	delta := DeltaOf(v.Sections, sections)
 	b := v.Bundle.clone()
 	b.Version = version
 	for _, name := range delta.Removed {
