--- a/admission/flow.go
+++ b/admission/flow.go
@@ -2,6 +2,10 @@
 
 import "auburngap/request"
 
+// flowCredit is how many tickets' worth of service a workspace that was served
+// less than its share may catch up on.
+const flowCredit = 4
+
 // flow is one workspace's use of a limiter, in virtual time.
 type flow struct {
 	workspace string
@@ -33,7 +37,7 @@
 	f.forgetOne()
 	t.flow = f.flowOf(t.Workspace)
 	t.flow.tickets++
-	start := max(f.clock[t.Priority], t.flow.finish[t.Priority])
+	start := max(f.clock[t.Priority]-flowCredit/t.weight(), t.flow.finish[t.Priority])
 	t.flow.finish[t.Priority] = start + 1/t.weight()
 	t.key = queueKey{class: t.class(), tag: start, hash: t.Hash}
 }
@@ -98,7 +102,7 @@
 
 func (f *fairShare) owes(candidate *flow) bool {
 	for priority, finish := range candidate.finish {
-		if finish > f.clock[priority] {
+		if finish > f.clock[priority]-flowCredit {
 			return true
 		}
 	}
