Watch the order of shedding by overtaking

It now counts exactly the promise at a hop: a call refused after a less important one that came to the server was started while it waited.

--- a/experiment/call.go
+++ b/experiment/call.go
@@ -26,15 +26,15 @@
 	target *target
 	ticket admission.Ticket
 	// limiter is the one that the ticket was offered to.
-	limiter            *admission.Limiter
-	budget             retry.Budget
-	lent               int
-	ended              bool
-	entered, workStart time.Time
-	workTime, own      time.Duration
-	working            bool
-	next, pending      int
-	signal             signal
+	limiter                     *admission.Limiter
+	budget                      retry.Budget
+	lent                        int
+	ended                       bool
+	arrived, entered, workStart time.Time
+	workTime, own               time.Duration
+	working                     bool
+	next, pending               int
+	signal                      signal
 }
 
 // try makes the next attempt.
--- a/experiment/figures.go
+++ b/experiment/figures.go
@@ -28,9 +28,9 @@
 	AttemptsPerRequest float64 `json:"attemptsPerRequest"`
 	// Wasted is the part of the servers' work done for requests that failed.
 	Wasted float64 `json:"wasted"`
-	// Inverted is the part of half seconds with refusals at a server in which it
-	// served a lower priority, the second half second running.
-	Inverted float64 `json:"inverted"`
+	// Overtaken is the part of refusals at servers of calls that a less
+	// important one started before, while they waited there.
+	Overtaken float64 `json:"overtaken"`
 	// ServedByPriority is the part of customers served, by priority.
 	ServedByPriority []float64 `json:"servedByPriority"`
 }
@@ -50,7 +50,7 @@
 		Wrongful:           ratio(float64(r.firstRefused), float64(r.firstCame)),
 		AttemptsPerRequest: ratio(float64(r.attempts), float64(r.requests)),
 		Wasted:             ratio(float64(r.wasted), float64(r.worked)),
-		Inverted:           s.inverted(),
+		Overtaken:          s.overtaken(),
 		ServedByPriority:   s.servedByPriority(),
 	}
 }
@@ -88,13 +88,13 @@
 	return -1
 }
 
-func (s *sim) inverted() float64 {
-	bins, inverted := 0, 0
+func (s *sim) overtaken() float64 {
+	refusals, overtaken := 0, 0
 	for _, t := range s.targets {
-		bins += t.shed.bins
-		inverted += t.shed.inverted
+		refusals += t.shed.refusals
+		overtaken += t.shed.overtaken
 	}
-	return ratio(float64(inverted), float64(bins))
+	return ratio(float64(overtaken), float64(refusals))
 }
 
 func (s *sim) servedByPriority() []float64 {
--- a/experiment/record.go
+++ b/experiment/record.go
@@ -92,36 +92,23 @@
 	}
 }
 
-// shedOrder watches one target for a priority that is served while a more
-// important one is refused, for longer than a bin.
+// shedOrder watches one target for calls that are refused although a less
+// important one has started while they waited there.
 type shedOrder struct {
-	start                     time.Time
-	refusedNow, refusedBefore uint8
-	startedNow                uint8
-	bins, inverted            int
-}
-
-func (o *shedOrder) refused(now time.Time, p request.Priority) {
-	o.advance(now)
-	o.refusedNow |= 1 << p
+	lastStart           [request.Priorities]time.Time
+	refusals, overtaken int
 }
 
 func (o *shedOrder) started(now time.Time, p request.Priority) {
-	o.advance(now)
-	o.startedNow |= 1 << p
+	o.lastStart[p] = now
 }
 
-func (o *shedOrder) advance(now time.Time) {
-	if now.Sub(o.start) < binLength {
-		return
-	}
-	both := o.refusedNow & o.refusedBefore
-	if o.refusedNow != 0 {
-		o.bins++
-		// A bit of startedNow above the lowest bit of both is a lower priority.
-		if lowest := both & -both; lowest != 0 && o.startedNow >= lowest<<1 {
-			o.inverted++
+func (o *shedOrder) refused(arrived time.Time, p request.Priority) {
+	o.refusals++
+	for lower := p + 1; lower < request.Priorities; lower++ {
+		if o.lastStart[lower].After(arrived) {
+			o.overtaken++
+			return
 		}
 	}
-	o.refusedBefore, o.refusedNow, o.startedNow, o.start = o.refusedNow, 0, 0, now
 }
--- a/experiment/table.go
+++ b/experiment/table.go
@@ -25,7 +25,7 @@
 	{"wrongful %", true, 2, func(f Figures) float64 { return f.Wrongful }},
 	{"attempts", false, 2, func(f Figures) float64 { return f.AttemptsPerRequest }},
 	{"wasted %", true, 1, func(f Figures) float64 { return f.Wasted }},
-	{"inverted %", true, 1, func(f Figures) float64 { return f.Inverted }},
+	{"overtaken %", true, 1, func(f Figures) float64 { return f.Overtaken }},
 }
 
 func (c column) format(s Spread) string {
--- a/experiment/target.go
+++ b/experiment/target.go
@@ -92,6 +92,7 @@
 		return
 	}
 	t.sim.record.attempts++
+	a.arrived = t.sim.now
 	if !t.sim.policy.limiter {
 		t.enter(a)
 		return
@@ -111,7 +112,7 @@
 }
 
 func (t *target) refuse(a *attempt, outcome outcome) {
-	t.shed.refused(t.sim.now, a.call.request.priority())
+	t.shed.refused(a.arrived, a.call.request.priority())
 	a.fail(outcome)
 }
 
