Add the operators' commands, the service-level report and their page

Cause: bundles could only be written by hand and nothing showed what the nodes served. operator/ has one file for each command; each is a struct of arguments that runs in an Environment handed in, so golden files hold whole sessions.

Ruled out: an HdrHistogram for each series and slot, at 2 KB or more each; a slot keeps 200 counts of buckets 12.5% wide and the report fills the histogram. go test ./report -bench Record: 98 ns/op, no allocation. go test -race passes for operator, report, bundle and platform.

--- a/bundle/delta.go
+++ b/bundle/delta.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"maps"
+	"slices"
 )
 
 // Delta is what turns the sections of one version into those of another.
@@ -22,6 +23,11 @@
 	return d.From == Hash{}
 }
 
+// Sections returns the names of the sections that the delta holds or removes.
+func (d Delta) Sections() []string {
+	return slices.Sorted(slices.Values(slices.Concat(sortedKeys(d.Changed), d.Removed)))
+}
+
 // DeltaOf returns the changes between two versions' sections. From an empty
 // Sections it returns a whole delta.
 func DeltaOf(from, to Sections) Delta {
--- a/bundle/errors.go
+++ b/bundle/errors.go
@@ -17,6 +17,8 @@
 	ErrNotReady = errs.NewType("notReady")
 	// ErrNoBundle means that the site has no bundle yet.
 	ErrNoBundle = errs.NewType("noBundle", errorx.NotFound())
+	// ErrNoKey means that there is no such key or workspace.
+	ErrNoKey = errs.NewType("noKey", errorx.NotFound())
 	// ErrNoProposal means that there is no such proposal.
 	ErrNoProposal = errs.NewType("noProposal", errorx.NotFound())
 )
--- a/bundle/rollout.go
+++ b/bundle/rollout.go
@@ -96,9 +96,24 @@
 	return record, nil
 }
 
+// MissingSignOffs returns how many sign-offs a proposal still needs; zero
+// where it may be rolled out.
+func (s *Store) MissingSignOffs(ctx context.Context, proposal Proposal) (int, error) {
+	base, err := s.current(ctx)
+	if err != nil {
+		return 0, err
+	}
+	next, err := base.proposed(proposal)
+	if err != nil {
+		return 0, err
+	}
+	trust := base.trustFor(next)
+	return max(0, trust.SignOffs-len(trust.Signers(proposal.Header, proposal.SignOffs))), nil
+}
+
 func (t Trust) enough(proposal Proposal) error {
 	if signers := t.Signers(proposal.Header, proposal.SignOffs); len(signers) < t.SignOffs {
-		return ErrNotReady.New("proposal %s is signed by %d operators, %d are needed", proposal.ID(), len(signers), t.SignOffs)
+		return ErrNotReady.New("proposal %s has %d of the %d sign-offs needed", proposal.ID(), len(signers), t.SignOffs)
 	}
 	return nil
 }
--- /dev/null
+++ b/operator/bundle_diff.go
@@ -0,0 +1,63 @@
+package operator
+
+import (
+	"context"
+	"io"
+	"net/netip"
+
+	"auburngap/bundle"
+)
+
+// BundleDiff is "auburngap bundle diff": it prints what a bundle changes
+// against another file, or against the platform's newest version.
+type BundleDiff struct {
+	outputFlags
+	Platform netip.AddrPort `arg:"--platform,env:AUBURNGAP_PLATFORM" placeholder:"ADDRESS" help:"address of the platform's key-value service"`
+	File     string         `arg:"positional,required" placeholder:"FILE"`
+	From     string         `arg:"positional" placeholder:"OLDFILE" help:"compare with this file, not with the newest version"`
+}
+
+// Run implements command.
+func (c *BundleDiff) Run(ctx context.Context, env Environment) error {
+	to, err := readSections(c.File)
+	if err != nil {
+		return err
+	}
+	from, err := c.old(ctx, env)
+	if err != nil {
+		return err
+	}
+	changes := bundle.Diff(from, to)
+	return c.print(env, changes, func(out io.Writer) { printChanges(out, changes) })
+}
+
+func (c *BundleDiff) old(ctx context.Context, env Environment) (bundle.Sections, error) {
+	if c.From != "" {
+		return readSections(c.From)
+	}
+	if !c.Platform.IsValid() {
+		return bundle.Sections{}, ErrUsage.New("name a second file, or the platform with --platform")
+	}
+	version, err := headOf(ctx, platformFlags{Platform: c.Platform}.store(env))
+	if err != nil {
+		return bundle.Sections{}, err
+	}
+	return version.Sections, nil
+}
+
+func readSections(path string) (bundle.Sections, error) {
+	b, err := readBundle(path)
+	if err != nil {
+		return bundle.Sections{}, err
+	}
+	return bundle.Split(b)
+}
+
+func printChanges(out io.Writer, changes []bundle.Change) {
+	if len(changes) == 0 {
+		printf(out, textSame)
+	}
+	for _, change := range changes {
+		printf(out, "%s\n", change)
+	}
+}
--- /dev/null
+++ b/operator/common.go
@@ -0,0 +1,121 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"auburngap/bundle"
+)
+
+// fetchTimeout bounds one question to a node.
+const fetchTimeout = 3 * time.Second
+
+// platformFlags are the arguments of commands that reach the platform.
+type platformFlags struct {
+	Platform netip.AddrPort `arg:"--platform,required,env:AUBURNGAP_PLATFORM" placeholder:"ADDRESS" help:"address of the platform's key-value service"`
+}
+
+func (f platformFlags) store(env Environment) *bundle.Store {
+	return bundle.NewStore(bundle.StoreConfig{Client: env.Client(f.Platform), Now: env.Now, NewID: env.NewID})
+}
+
+// outputFlags are the arguments of commands that can print JSON.
+type outputFlags struct {
+	JSON bool `arg:"--json" help:"print JSON"`
+}
+
+// print writes value as JSON, or the text of it.
+func (f outputFlags) print(env Environment, value any, text func(io.Writer)) error {
+	if !f.JSON {
+		return printTable(env.Stdout, text)
+	}
+	encoder := json.NewEncoder(env.Stdout)
+	encoder.SetIndent("", "  ")
+	encoder.SetEscapeHTML(false)
+	return encoder.Encode(value)
+}
+
+// printTable lines up the columns that tabs divide.
+func printTable(out io.Writer, text func(io.Writer)) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	text(table)
+	return table.Flush()
+}
+
+// printf prints to a table, whose Flush returns the error.
+func printf(out io.Writer, format string, args ...any) {
+	_, _ = fmt.Fprintf(out, format, args...)
+}
+
+func readBundle(path string) (*bundle.Bundle, error) {
+	source, err := os.ReadFile(path)
+	if err != nil {
+		return nil, ErrUsage.Wrap(err, "cannot read the bundle")
+	}
+	b, err := bundle.Parse(source)
+	if err != nil {
+		return nil, &fileError{path: path, err: err}
+	}
+	return b, nil
+}
+
+// fileError names the file in each line of its faults.
+type fileError struct {
+	path string
+	err  error
+}
+
+// Error implements error.
+func (e *fileError) Error() string {
+	faults, ok := e.err.(*bundle.FaultsError)
+	if !ok {
+		return e.path + ": " + e.err.Error()
+	}
+	text := ""
+	for i, fault := range faults.Faults {
+		if i > 0 {
+			text += "\n"
+		}
+		text += e.path + ":" + fault.String()
+	}
+	return text
+}
+
+// Unwrap returns the faults.
+func (e *fileError) Unwrap() error { return e.err }
+
+func fetch(ctx context.Context, node netip.AddrPort, path string) ([]byte, error) {
+	deadline := time.Now().Add(fetchTimeout)
+	if own, ok := ctx.Deadline(); ok && own.Before(deadline) {
+		deadline = own
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + node.String() + path)
+	if err := fasthttp.DoDeadline(req, resp, deadline); err != nil {
+		return nil, ErrFailed.Wrap(err, "no answer from %s", node)
+	}
+	if resp.StatusCode() != http.StatusOK {
+		return nil, ErrFailed.New("%s answered %d", node, resp.StatusCode())
+	}
+	return append([]byte(nil), resp.Body()...), nil
+}
+
+// headOf returns the newest version with its bundle, or bundle.ErrNoBundle.
+func headOf(ctx context.Context, store *bundle.Store) (*bundle.Version, error) {
+	head, err := store.Head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return store.Load(ctx, head.Version)
+}
--- /dev/null
+++ b/operator/key_pair.go
@@ -0,0 +1,72 @@
+package operator
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/tailscale/hujson"
+
+	"auburngap/bundle"
+)
+
+// KeyPairCommand is "auburngap key-pair": it makes an operator's key pair.
+type KeyPairCommand struct {
+	Name string `arg:"--name,required" placeholder:"NAME" help:"the operator's name in the bundle"`
+	Out  string `arg:"--out,required" placeholder:"FILE" help:"takes the private key; keep it to yourself"`
+}
+
+// keyFile is what a key's file holds.
+type keyFile struct {
+	Name       string `json:"name"`
+	PublicKey  string `json:"publicKey"`
+	PrivateKey string `json:"privateKey"`
+}
+
+// Run implements command. It overwrites no file and prints the public key.
+func (c *KeyPairCommand) Run(_ context.Context, env Environment) error {
+	seed := make([]byte, ed25519.SeedSize)
+	if _, err := io.ReadFull(env.Random, seed); err != nil {
+		return ErrFailed.Wrap(err, "no random numbers")
+	}
+	public := ed25519.NewKeyFromSeed(seed).Public().(ed25519.PublicKey)
+	file := keyFile{
+		Name:       c.Name,
+		PublicKey:  base64.StdEncoding.EncodeToString(public),
+		PrivateKey: base64.StdEncoding.EncodeToString(seed),
+	}
+	encoded, err := json.MarshalIndent(file, "", "  ")
+	if err != nil {
+		return err
+	}
+	if err := writeNew(c.Out, append(encoded, '\n'), 0o600); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(env.Stdout, file.PublicKey)
+	return err
+}
+
+// readSigner reads the file of a key pair.
+func readSigner(path string) (bundle.Signer, error) {
+	source, err := os.ReadFile(path)
+	if err != nil {
+		return bundle.Signer{}, ErrUsage.Wrap(err, "cannot read the key")
+	}
+	plain, err := hujson.Standardize(source)
+	if err != nil {
+		return bundle.Signer{}, ErrUsage.Wrap(err, "%s is no key file", path)
+	}
+	var file keyFile
+	if err := json.Unmarshal(plain, &file); err != nil {
+		return bundle.Signer{}, ErrUsage.Wrap(err, "%s is no key file", path)
+	}
+	seed, err := base64.StdEncoding.DecodeString(file.PrivateKey)
+	if err != nil || len(seed) != ed25519.SeedSize || file.Name == "" {
+		return bundle.Signer{}, ErrUsage.New("%s holds no private key with a name", path)
+	}
+	return bundle.Signer{Name: file.Name, Key: ed25519.NewKeyFromSeed(seed)}, nil
+}
--- /dev/null
+++ b/operator/operator.go
@@ -0,0 +1,151 @@
+// Package operator holds the operators' commands: bundles, keys, status and
+// reports. Each command is a struct of arguments for go-arg and runs against
+// the platform's key-value service and the nodes' control addresses.
+//
+// # Usage
+//
+//	var commands operator.Commands // embedded in the program's command line
+//	handled, err := commands.Run(ctx, operator.Environment{Stdout: os.Stdout})
+//	os.Exit(operator.ExitCode(err))
+package operator
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"io"
+	"net/netip"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/joomcode/errorx"
+
+	"auburngap/bundle"
+	"auburngap/platform"
+)
+
+// The exit codes of the commands.
+const (
+	ExitOK = 0
+	// ExitFailed means that the command did not do what was asked.
+	ExitFailed = 1
+	// ExitFaults means that the command line or a file that it names is wrong.
+	ExitFaults = 2
+	// ExitConflict means that another operator's change came first.
+	ExitConflict = 3
+	// ExitUnavailable means that the platform gave no answer: the change may
+	// have taken effect, and running the command again tells.
+	ExitUnavailable = 4
+)
+
+var (
+	errs = errorx.NewNamespace("operator")
+	// ErrUsage means that arguments or a file that they name are wrong.
+	ErrUsage = errs.NewType("usage")
+	// ErrFailed means that the command could not do what was asked.
+	ErrFailed = errs.NewType("failed")
+)
+
+// ExitCode returns the process's exit code for the error of a command.
+func ExitCode(err error) int {
+	var faults *bundle.FaultsError
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &faults), errorx.IsOfType(err, ErrUsage):
+		return ExitFaults
+	case errorx.IsOfType(err, bundle.ErrConflict):
+		return ExitConflict
+	case errorx.IsOfType(err, platform.ErrUnavailable):
+		return ExitUnavailable
+	default:
+		return ExitFailed
+	}
+}
+
+// Environment is what the commands need from outside. Fields left empty take
+// their defaults from the system.
+type Environment struct {
+	Stdout io.Writer
+	// Client returns a client of the platform's service.
+	Client func(netip.AddrPort) platform.Client
+	// Fetch returns the body of a GET on a node's control address.
+	Fetch func(ctx context.Context, node netip.AddrPort, path string) ([]byte, error)
+	Now   func() time.Time
+	// NewID makes the IDs of proposals.
+	NewID func() (uuid.UUID, error)
+	// Random makes keys.
+	Random io.Reader
+}
+
+func (e Environment) withDefaults() Environment {
+	if e.Client == nil {
+		e.Client = func(address netip.AddrPort) platform.Client {
+			return platform.NewHTTPClient(platform.HTTPConfig{Address: address})
+		}
+	}
+	if e.Fetch == nil {
+		e.Fetch = fetch
+	}
+	if e.Now == nil {
+		e.Now = time.Now
+	}
+	if e.NewID == nil {
+		e.NewID = uuid.NewV7
+	}
+	if e.Random == nil {
+		e.Random = rand.Reader
+	}
+	return e
+}
+
+// Commands is every operator's command, to be embedded in a command line.
+type Commands struct {
+	Bundle  *BundleCommand  `arg:"subcommand:bundle" help:"check, propose, sign and roll out bundles"`
+	Key     *KeyCommand     `arg:"subcommand:key" help:"issue and withdraw callers' keys"`
+	KeyPair *KeyPairCommand `arg:"subcommand:key-pair" help:"make an operator's key pair for sign-offs"`
+	Status  *StatusCommand  `arg:"subcommand:status" help:"show the version in force at each VM and availability zone"`
+	Report  *ReportCommand  `arg:"subcommand:report" help:"show the service-level burn of services, workspaces and priorities"`
+}
+
+// command is one command with its arguments.
+type command interface {
+	Run(ctx context.Context, env Environment) error
+}
+
+// chosen returns the command that was named, or nil.
+func (c *Commands) chosen() command {
+	switch {
+	case c.Bundle != nil:
+		return c.Bundle.chosen()
+	case c.Key != nil:
+		return c.Key.chosen()
+	case c.KeyPair != nil:
+		return c.KeyPair
+	case c.Status != nil:
+		return c.Status
+	case c.Report != nil:
+		return c.Report
+	default:
+		return nil
+	}
+}
+
+// Run runs the command that was named; it returns false where none of these was.
+func (c *Commands) Run(ctx context.Context, env Environment) (bool, error) {
+	chosen := c.chosen()
+	if chosen == nil {
+		return false, nil
+	}
+	return true, chosen.Run(ctx, env.withDefaults())
+}
+
+// missing is the command of a group of which none was named.
+type missing struct {
+	group string
+}
+
+// Run implements command.
+func (m missing) Run(context.Context, Environment) error {
+	return ErrUsage.New(textNoCommand, m.group, m.group)
+}
--- /dev/null
+++ b/report/text.go
@@ -0,0 +1,66 @@
+package report
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// headings name the first column of each group's table.
+var headings = map[string]string{
+	GroupAll:       "ALL",
+	GroupService:   "SERVICE",
+	GroupWorkspace: "WORKSPACE",
+	GroupPriority:  "PRIORITY",
+}
+
+// WriteText writes the summary as tables.
+func (s Summary) WriteText(out io.Writer) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	// The table keeps what goes wrong until Flush.
+	_, _ = fmt.Fprintf(table, "%s to %s UTC, %d VMs in %s\n",
+		s.From.UTC().Format(time.DateTime), s.To.UTC().Format(time.TimeOnly), len(s.VMs), strings.Join(s.Zones, ", "))
+	for _, group := range groups {
+		_, _ = fmt.Fprintf(table, "\n%s\tREQUESTS\tGOOD/S\tGOOD\tBURN\tP50\tP99\tMAX\tWRONGFUL\tREJECTED\tCAUSES\n", headings[group])
+		for _, row := range s.Group(group) {
+			_, _ = fmt.Fprintln(table, row.columns())
+		}
+	}
+	return table.Flush()
+}
+
+func (r Row) columns() string {
+	return fmt.Sprintf("%s\t%d\t%.1f\t%s\t%.2f\t%s\t%s\t%s\t%d\t%d\t%s",
+		r.Name, r.Requests, r.GoodPerSecond, percent(r.GoodShare), r.Burn,
+		millis(r.P50Micros), millis(r.P99Micros), millis(r.MaxMicros),
+		r.Wrongful, r.Rejected, r.causeList())
+}
+
+func percent(share float64) string {
+	return fmt.Sprintf("%.2f%%", 100*share)
+}
+
+func millis(micros int64) string {
+	return fmt.Sprintf("%.1fms", float64(micros)/1000)
+}
+
+// causeList names the causes, the most frequent first.
+func (r Row) causeList() string {
+	names := make([]string, 0, len(r.Causes))
+	for name := range r.Causes {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		if r.Causes[a] != r.Causes[b] {
+			return int(r.Causes[b]) - int(r.Causes[a])
+		}
+		return strings.Compare(a, b)
+	})
+	for i, name := range names {
+		names[i] = fmt.Sprintf("%s %d", name, r.Causes[name])
+	}
+	return strings.Join(names, ", ")
+}
