--- a/bundle/follower.go
+++ b/bundle/follower.go
@@ -101,6 +101,20 @@
 	return trial.check(version, proof)
 }
 
+// ProofSince returns what brings a node that holds a version to the one in
+// force here: a few changes where they are kept, else the whole proof. It
+// returns nothing where there is nothing newer.
+func (f *Follower) ProofSince(version uint64) (uint64, []byte, error) {
+	f.mu.Lock()
+	records := f.tracker.Since(version)
+	f.mu.Unlock()
+	if len(records) == 0 {
+		return 0, nil, nil
+	}
+	proof, err := encode(records)
+	return records[len(records)-1].Header.Version, proof, err
+}
+
 // check offers the records of a proof in their order.
 func (t *Tracker) check(version uint64, proof []byte) error {
 	records, err := decodeAny[[]Record](proof)
--- a/bundle/follower_test.go
+++ b/bundle/follower_test.go
@@ -6,9 +6,15 @@
 	"gotest.tools/v3/assert"
 
 	"auburngap/bundle"
+	"auburngap/directory"
 	"auburngap/platform/fake"
 )
 
+var (
+	_ directory.BundleSink   = (*bundle.Follower)(nil)
+	_ directory.BundleSource = (*bundle.Follower)(nil)
+)
+
 func newFollower(d *desk) *bundle.Follower {
 	return bundle.NewFollower(bundle.FollowerConfig{Client: d.service, Roots: rootTrust()})
 }
@@ -73,3 +79,41 @@
 	_, _, err = relay.Head(t.Context())
 	assert.Assert(t, err != nil)
 }
+
+// TestProofSince: nodes that lag a little get the changes alone.
+func TestProofSince(t *testing.T) {
+	d := newDesk(t)
+	d.accept(testBundle(t))
+	relay := newFollower(d)
+	nodes := []*bundle.Follower{newFollower(d)} // the first holds nothing
+	pass := func(to *bundle.Follower) int {
+		version, proof, err := relay.ProofSince(to.Highest())
+		assert.NilError(t, err)
+		to.Offer(version, proof)
+		assert.Equal(t, to.Highest(), relay.Highest())
+		return len(proof)
+	}
+	for i := range 8 {
+		b := testBundle(t)
+		b.Workspaces[0].Rate = float64(i + 1)
+		if i > 4 {
+			b.Operators = b.Operators[:2]
+		}
+		d.accept(b)
+		version, whole, err := relay.Head(t.Context())
+		assert.NilError(t, err)
+		relay.Offer(version, whole)
+		node := newFollower(d)
+		node.Offer(version, whole)
+		nodes = append(nodes, node)
+	}
+	first := pass(nodes[0])
+	for _, node := range nodes[1:8] {
+		size := pass(node)
+		assert.Assert(t, size < first, "%d bytes, the whole has %d", size, first)
+	}
+	version, proof, err := relay.ProofSince(relay.Highest())
+	assert.NilError(t, err)
+	assert.Equal(t, version, uint64(0))
+	assert.Equal(t, len(proof), 0)
+}
--- a/bundle/sections_test.go
+++ b/bundle/sections_test.go
@@ -81,10 +81,18 @@
 				}
 				copied.RelaysHold(2)
 			}
+			b.ReportMetric(float64(encodedSize(b, record)), "delta-B")
+			b.ReportMetric(float64(encodedSize(b, tracker.HeldVersion().Whole())), "whole-B")
 		})
 	}
 }
 
+func encodedSize(t testing.TB, record bundle.Record) int {
+	encoded, err := record.Encode()
+	assert.NilError(t, err)
+	return len(encoded)
+}
+
 // trackerWith returns a tracker that holds version 1 with so many workspaces,
 // and the record of version 2, which changes one of them.
 func trackerWith(t testing.TB, count int) (*bundle.Tracker, bundle.Record) {
--- a/bundle/tracker.go
+++ b/bundle/tracker.go
@@ -12,11 +12,18 @@
 	// pending are versions held and not yet in force, the oldest first.
 	pending []*Version
 	inForce *Index
-	recent  []Record
+	// recent are the last changes of held, each from the one before.
+	recent []change
 	// links are whole records of the versions that changed who signs.
 	links []Record
 }
 
+// change is a record whose delta leads from the version held before it.
+type change struct {
+	from   uint64
+	record Record
+}
+
 // NewTracker returns a tracker that trusts the operators of the settings for
 // the first version.
 func NewTracker(roots Trust) *Tracker {
@@ -49,7 +56,7 @@
 	if err != nil {
 		return Verdict{}, err
 	}
-	t.keep(record)
+	t.keep(next)
 	t.held = next
 	if header.TrustChanged {
 		t.links = append(t.links, next.Whole())
@@ -58,12 +65,15 @@
 	return Verdict{Accepted: true}, nil
 }
 
-// keep stores the record for Since; a gap makes the older ones useless.
-func (t *Tracker) keep(record Record) {
-	if record.Header.Version != t.Held()+1 {
-		t.recent = nil
+// keep stores the change for Since. The record may have come whole: what is
+// kept is small whatever way it came.
+func (t *Tracker) keep(next *Version) {
+	if t.Held() == 0 {
+		return
 	}
-	t.recent = append(t.recent, record)
+	record := next.Record
+	record.Delta = DeltaOf(t.held.Sections, next.Sections)
+	t.recent = append(t.recent, change{from: t.Held(), record: record})
 	if len(t.recent) > recentRecords {
 		t.recent = slices.Delete(t.recent, 0, len(t.recent)-recentRecords)
 	}
@@ -104,17 +114,20 @@
 }
 
 // Since returns the records that bring another node from its version to the
-// one held: those in between where they are kept, else one whole record.
+// one held: the changes in between where they are kept, else the whole proof.
 func (t *Tracker) Since(version uint64) []Record {
 	if version >= t.Held() {
 		return nil
 	}
-	for i, record := range t.recent {
-		if record.Header.Version == version+1 {
-			return slices.Clone(t.recent[i:])
-		}
+	start := slices.IndexFunc(t.recent, func(c change) bool { return c.from == version })
+	if start < 0 {
+		return t.Proof()
+	}
+	var records []Record
+	for _, c := range t.recent[start:] {
+		records = append(records, c.record)
 	}
-	return []Record{t.held.Whole()}
+	return records
 }
 
 // Proof returns the records that lead one who trusts the same roots to the
