--- a/shard/ask.go
+++ b/shard/ask.go
@@ -17,6 +17,10 @@
 	// confirms and releases hold the witnesses that answered yes, for the
 	// present round and for the present table version.
 	confirms, releases map[string]bool
+	// nextGossip is when to ask another VM for a newer table, gossiped how
+	// often that was done.
+	nextGossip time.Duration
+	gossiped   int
 	// known holds the version that each VM was last heard to know.
 	known map[string]uint64
 }
@@ -105,6 +109,20 @@
 	m.noteAnswer(m.cfg.VM, m.judge(request))
 }
 
+// gossip asks one other VM for a newer table now and then, so that VMs that
+// hold no lease hear of new owners.
+func (m *Machine) gossip() {
+	if !m.idle() || len(m.vms) == 0 || m.now < m.round.nextGossip {
+		return
+	}
+	m.round.nextGossip = m.now + m.cfg.Timing.IdleInterval
+	m.round.gossiped++
+	vm := m.vms[(m.round.gossiped+rank(m.cfg.VM, 0, m.view.candidates))%len(m.vms)]
+	if vm != m.cfg.VM {
+		m.do(Ask{To: vm, Request: Request{Version: m.view.table.Version}})
+	}
+}
+
 // judge answers a question as a witness.
 func (m *Machine) judge(request Request) Answer {
 	answer := Answer{Round: request.Round, Version: m.view.table.Version}
--- a/shard/handover.go
+++ b/shard/handover.go
@@ -1,6 +1,10 @@
 package shard
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // heir is the VM that gets a shard at shutdown.
 type heir struct {
@@ -127,7 +131,7 @@
 	table := m.view.table
 	version := table.Version
 	released := m.witness.release(version, m.now)
-	for vm := range m.view.candidates {
+	for _, vm := range slices.Sorted(maps.Keys(m.view.candidates)) {
 		if vm != m.cfg.VM {
 			m.do(Ask{To: vm, Request: Request{Version: version, Table: &table, Released: released}})
 		}
--- a/shard/keeper_test.go
+++ b/shard/keeper_test.go
@@ -173,6 +173,23 @@
 	})
 }
 
+func TestKeeperRecognisesItsOwnWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := newZone(t, "a", "b", "c")
+		owner := z.owner(t, 0)
+		z.stop(owner)
+		time.Sleep(time.Second)
+		z.service.SetFaults(fake.Faults{LoseAnswers: 6, LosePrefix: shard.TableKey("north")})
+		time.Sleep(10 * time.Second)
+		successor := z.owner(t, 0)
+		assert.Assert(t, successor != nil)
+		_, _, epoch, _ := successor.keeper.OwnerOf("north", 0)
+		held, ok := successor.keeper.Live(0, z.Now())
+		assert.Assert(t, ok)
+		assert.Equal(t, held.Epoch, epoch)
+	})
+}
+
 func TestKeeperHandsOverState(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		z := newZone(t, "a", "b", "c")
--- a/shard/lease.go
+++ b/shard/lease.go
@@ -54,22 +54,29 @@
 	m.do(action)
 }
 
-// wantsSeat tells whether the VM should hold a lease: few of its zone do, and
-// every owner does.
+// wantsSeat tells whether the VM should hold a lease: the first in rank of its
+// zone do, and every owner does.
 func (m *Machine) wantsSeat() bool {
 	if m.shutdown.begun || !m.view.readDone {
 		return false
 	}
-	others := len(m.view.candidates)
-	if _, ok := m.view.candidates[m.cfg.VM]; ok {
+	if m.owns() {
 		return true
 	}
+	if _, there := m.view.candidates[m.cfg.VM]; there {
+		return m.seated(m.cfg.VM)
+	}
+	return len(m.view.candidates) < m.cfg.MaxCandidates
+}
+
+// owns tells whether the table names the VM for any shard.
+func (m *Machine) owns() bool {
 	for i := range m.view.table.Shards {
 		if m.view.table.Shards[i].Owner == m.cfg.VM {
 			return true
 		}
 	}
-	return others < m.cfg.MaxCandidates
+	return false
 }
 
 // seekLease asks for, puts or renews the lease when that is due.
@@ -81,6 +88,9 @@
 	if l.state == "putting" && m.now >= l.until {
 		l.fire(m, "leaseLost")
 	}
+	if !m.wantsSeat() && !m.plan.writing && !m.shutdown.begun && l.fire(m, "spare") {
+		l.id, l.until = 0, never
+	}
 	if l.fire(m, "due") {
 		l.next = m.now + m.cfg.Timing.Interval
 	}
--- a/shard/machine.go
+++ b/shard/machine.go
@@ -10,6 +10,10 @@
 	"auburngap/platform"
 )
 
+// idleReaders is the number of VMs without a lease that read the platform once
+// in an IdleInterval between them.
+const idleReaders = 10
+
 // Config describes the VM whose shards a Machine decides on.
 type Config struct {
 	VM      string
@@ -126,6 +130,7 @@
 
 func (e Tick) apply(m *Machine) {
 	m.vms = e.VMs
+	m.gossip()
 	if m.view.reading || m.now < m.view.nextRead {
 		return
 	}
@@ -134,11 +139,18 @@
 	m.do(Read{})
 }
 
+// readInterval keeps the platform's reads independent of the number of VMs:
+// those that hold no lease share a constant rate.
 func (m *Machine) readInterval() time.Duration {
-	if m.lease.state == "none" && m.view.readDone && !m.wantsSeat() {
-		return m.cfg.Timing.IdleInterval
+	if !m.idle() {
+		return m.cfg.Timing.Interval
 	}
-	return m.cfg.Timing.Interval
+	return m.cfg.Timing.IdleInterval * time.Duration(1+len(m.vms)/idleReaders)
+}
+
+// idle tells whether the VM neither holds nor wants a lease.
+func (m *Machine) idle() bool {
+	return m.lease.state == "none" && m.view.readDone && !m.wantsSeat()
 }
 
 func (e Snapshot) apply(m *Machine) {
@@ -171,6 +183,7 @@
 
 // learn takes in a table that is known to have been written.
 func (m *Machine) learn(t Table, synced bool, revision platform.Revision) {
+	m.check(len(t.Shards) == m.cfg.Shards, "the table has the zone's number of shards")
 	if len(t.Shards) != m.cfg.Shards || t.Version < m.view.table.Version {
 		return
 	}
--- a/shard/machine_test.go
+++ b/shard/machine_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -132,3 +133,28 @@
 	assert.Assert(t, gone > time.Minute && gone < 75*time.Second, "%v", gone)
 	assert.Equal(t, len(s.owners(0)), 1)
 }
+
+func TestPlatformCallsDoNotGrowWithVMs(t *testing.T) {
+	for _, vms := range []int{8, 32, 128} {
+		s := settled(t, vms, 4)
+		before := s.calls
+		s.run(30 * time.Second)
+		rate := float64(s.calls-before) / 30
+		t.Logf("%d VMs: %.2f platform calls a second", vms, rate)
+		assert.Assert(t, rate <= 18, "%d VMs: %v", vms, rate)
+	}
+}
+
+func BenchmarkTick(b *testing.B) {
+	for _, shards := range []int{4, 16, 64} {
+		b.Run(fmt.Sprint(shards), func(b *testing.B) {
+			s := newSim(1, 4, shards, faults{})
+			s.run(10 * time.Second)
+			n := s.nodes["vm0"]
+			b.ReportAllocs()
+			for b.Loop() {
+				n.machine.Handle(Tick{VMs: s.names}, n.clock())
+			}
+		})
+	}
+}
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -64,10 +64,10 @@
 // VM is the next to take the shard.
 func (m *Machine) myTurn(i int) bool {
 	s := &m.slots[i]
-	if !m.steady() || !s.lapsed {
+	if !m.steady() || !s.lapsed || !m.seated(m.cfg.VM) {
 		return false
 	}
-	turn := time.Duration(rank(m.cfg.VM, i, m.view.candidates)) * m.cfg.Timing.TakeStep
+	turn := time.Duration(rank(m.cfg.VM, i, m.seats())) * m.cfg.Timing.TakeStep
 	return m.now-max(s.lapsedSince, m.contact.since+m.cfg.Timing.Steady) >= turn
 }
 
@@ -130,9 +130,9 @@
 	m.plan.changed, m.plan.bump = true, true
 }
 
-// witnessSet returns the VMs that hold leases, this one among them.
+// witnessSet returns the seated VMs and this one.
 func (m *Machine) witnessSet() []string {
-	vms := slices.Sorted(maps.Keys(m.view.candidates))
+	vms := slices.Sorted(maps.Keys(m.seats()))
 	if !slices.Contains(vms, m.cfg.VM) {
 		vms = append(vms, m.cfg.VM)
 		slices.Sort(vms)
--- a/shard/random_test.go
+++ b/shard/random_test.go
@@ -26,13 +26,13 @@
 
 // faultNames are the things that a step of a random run may bring about.
 var faultNames = []string{
-	"run", "run", "run", "run", "run", "long", "pause", "resume", "resume", "kill", "start", "start",
-	"restart", "shutdown", "cut", "heal", "heal", "cutPlatform", "healPlatform", "outage", "healOutage", "messages",
+	"run", "run", "run", "run", "run", "long", "pause", "resume", "kill", "restart", "restart", "shutdown",
+	"cut", "cutPlatform", "outage", "messages", "calm", "calm", "calm", "repair", "repair", "pauseInCall", "split", "endOutage", "lateWrite",
 }
 
 // step brings about one thing; pick returns a number from 0 to n-1.
-func (s *sim) step(pick func(n int) int) string {
-	name := faultNames[pick(len(faultNames))]
+func (s *sim) step(names []string, pick func(n int) int) string {
+	name := names[pick(len(names))]
 	n := s.nodes[s.names[pick(len(s.names))]]
 	other := s.names[pick(len(s.names))]
 	alive := n.machine != nil
@@ -43,14 +43,14 @@
 		s.run(time.Duration(1+pick(10)) * time.Second)
 	case "pause":
 		n.paused = alive
+	case "pauseInCall":
+		n.pauseInCall = alive
+	case "split":
+		s.split(pick)
 	case "resume":
 		n.resume()
 	case "kill":
 		n.kill()
-	case "start":
-		if !alive {
-			n.start()
-		}
 	case "restart":
 		n.kill()
 		n.start()
@@ -60,16 +60,19 @@
 		}
 	case "cut":
 		n.cut[other] = other != n.vm
-	case "heal":
-		clear(n.cut)
 	case "cutPlatform":
 		n.noPlatform = true
-	case "healPlatform":
-		n.noPlatform = false
 	case "outage":
 		s.outage = true
-	case "healOutage":
+	case "lateWrite":
+		s.lateWrite = time.Duration(1+pick(6)) * time.Second
+	case "endOutage":
 		s.outage = false
+	case "repair":
+		s.repair()
+	case "calm":
+		s.repair()
+		s.run(time.Duration(1+pick(8)) * time.Second)
 	case "messages":
 		s.drop, s.late, s.twice = float64(pick(3))*0.1, float64(pick(3))*0.1, float64(pick(2))*0.2
 	}
@@ -77,6 +80,42 @@
 	return fmt.Sprintf("%v %s %s", s.now, name, n.vm)
 }
 
+// split cuts some VMs off from the others and from the platform; they are
+// awake. Some VMs restart.
+func (s *sim) split(pick func(n int) int) {
+	for _, name := range s.names {
+		n := s.nodes[name]
+		n.noPlatform = pick(2) == 0
+	}
+	for _, name := range s.names {
+		n := s.nodes[name]
+		for _, other := range s.names {
+			n.cut[other] = n.noPlatform != s.nodes[other].noPlatform
+		}
+		if pick(3) == 0 {
+			n.kill()
+			n.start()
+		}
+		if n.noPlatform {
+			n.resume()
+		}
+	}
+}
+
+// repair ends every fault.
+func (s *sim) repair() {
+	s.outage, s.drop, s.late, s.twice = false, 0, 0, 0
+	for _, name := range s.names {
+		n := s.nodes[name]
+		n.noPlatform = false
+		clear(n.cut)
+		n.resume()
+		if n.machine == nil {
+			n.start()
+		}
+	}
+}
+
 // randomSim returns a zone with clocks off within the bound, already running.
 func randomSim(seed uint64, vms int, f faults, pick func(n int) int) *sim {
 	s := newSim(seed, vms, 2, f)
@@ -100,7 +139,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"step": func(t *rapid.T) {
 				steps++
-				t.Log(s.step(pick))
+				t.Log(s.step(faultNames, pick))
 			},
 			"": func(t *rapid.T) { assert.Equal(t, len(s.violations), 0, "%v", s.violations) },
 		})
@@ -109,12 +148,12 @@
 	t.Logf("%d steps, shards gained %d times", steps, gains)
 }
 
-// walk runs one seed; it returns the trace and whether an invariant was violated.
-func walk(seed uint64, steps int, f faults) (trace []string, s *sim) {
+// walk runs one seed; it returns the trace and the zone, which holds the violations.
+func walk(seed uint64, steps int, f faults, names []string) (trace []string, s *sim) {
 	rng := rand.New(rand.NewPCG(seed, 2))
 	s = randomSim(seed, 3+int(seed%3), f, rng.IntN)
 	for range steps {
-		trace = append(trace, s.step(rng.IntN))
+		trace = append(trace, s.step(names, rng.IntN))
 		if len(s.violations) > 0 {
 			break
 		}
@@ -132,7 +171,7 @@
 	end := time.Now().Add(time.Duration(minutes * float64(time.Minute)))
 	first, steps, gains := seed, 0, 0
 	for ; time.Now().Before(end); seed++ {
-		trace, s := walk(seed, 200, faults{})
+		trace, s := walk(seed, 200, faults{}, faultNames)
 		steps += len(trace)
 		gains += s.gains
 		assert.Equal(t, len(s.violations), 0, "seed %d: %v\n%v", seed, s.violations, trace)
--- a/shard/sim_test.go
+++ b/shard/sim_test.go
@@ -35,8 +35,13 @@
 	// drop, late and twice are the chances that a message is lost, late, or doubled.
 	drop, late, twice float64
 
+	// lateWrite delays the next write of the table.
+	lateWrite time.Duration
+
 	gains, handed int
-	violations    []string
+	// calls counts the platform's calls.
+	calls      int
+	violations []string
 }
 
 type simNode struct {
@@ -46,6 +51,8 @@
 	incarnation int
 	rate        float64
 	paused      bool
+	// pauseInCall pauses the VM before the next answer of the platform.
+	pauseInCall bool
 	waiting     []func()
 	noPlatform  bool
 	cut         map[string]bool
@@ -225,7 +232,9 @@
 	case Revoke:
 		n.call(func() Event { s.lapse(a.Lease); return nil }, nil)
 	case Write:
-		n.call(func() Event { return s.write(a, sentAt) }, Wrote{SentAt: sentAt, Err: platform.ErrUnavailable.New("lost")})
+		late := s.lateWrite
+		s.lateWrite = 0
+		n.callAfter(late, func() Event { return s.write(a, sentAt) }, Wrote{SentAt: sentAt, Err: platform.ErrUnavailable.New("lost")})
 	case Ask:
 		n.ask(a)
 	case Reply:
@@ -283,7 +292,11 @@
 func (s *sim) delay() (time.Duration, bool) {
 	d := time.Duration(s.rng.Int64N(int64(5 * time.Millisecond)))
 	if s.rng.Float64() < s.late {
-		d += time.Duration(s.rng.Int64N(int64(6 * time.Second)))
+		longest := 900 * time.Millisecond
+		if s.rng.IntN(2) == 0 {
+			longest = 6 * time.Second
+		}
+		d += time.Duration(s.rng.Int64N(int64(longest)))
 	}
 	return d, s.rng.Float64() < s.drop
 }
@@ -291,6 +304,10 @@
 // call sends a platform call; if no answer comes within a second, failed is
 // the event, though the call may still take effect.
 func (n *simNode) call(apply func() Event, failed Event) {
+	n.callAfter(0, apply, failed)
+}
+
+func (n *simNode) callAfter(late time.Duration, apply func() Event, failed Event) {
 	s := n.sim
 	incarnation := n.incarnation
 	done := false
@@ -307,12 +324,15 @@
 	if lost {
 		return
 	}
-	s.after(d, func() {
+	s.after(d+late, func() {
 		if s.outage || n.noPlatform {
 			return
 		}
+		s.calls++
 		s.lapseAll()
 		event := apply()
+		n.paused = n.paused || n.pauseInCall && n.machine != nil
+		n.pauseInCall = false
 		back, lost := s.delay()
 		if !lost {
 			s.after(back, func() {
@@ -341,10 +361,10 @@
 			continue
 		}
 		s.after(d, func() {
-			if n.cut[a.To] || to.cut[n.vm] || to.machine == nil {
-				return
-			}
 			to.deliver(to.incarnation, func() {
+				if n.cut[a.To] || to.cut[n.vm] {
+					return
+				}
 				to.handle(Asked{From: n.vm, Request: a.Request}, func(answer Answer) { to.answer(n, from, answer) })
 			})
 		})
@@ -357,10 +377,11 @@
 		return
 	}
 	n.sim.after(d, func() {
-		if n.cut[to.vm] || to.cut[n.vm] {
-			return
-		}
-		to.deliver(incarnation, func() { to.handle(Answered{From: n.vm, Answer: answer}, nil) })
+		to.deliver(incarnation, func() {
+			if !n.cut[to.vm] && !to.cut[n.vm] {
+				to.handle(Answered{From: n.vm, Answer: answer}, nil)
+			}
+		})
 	})
 }
 
