--- a/experiment/best.go
+++ b/experiment/best.go
@@ -84,7 +84,7 @@
 // fill serves the streams as well as the slots allow: the more important
 // priority first, and within it all streams rise together by weight until
 // their demand is met or a service on their path is full.
-func fill(streams []stream, routes []route, cost [][]float64, slots []float64) {
+func fill(streams []stream, routes []routeSpec, cost [][]float64, slots []float64) {
 	left := append([]float64(nil), slots...)
 	for priority := range request.Priorities {
 		var active []*stream
--- a/experiment/call.go
+++ b/experiment/call.go
@@ -6,6 +6,14 @@
 	"auburngap/admission"
 	"auburngap/request"
 	"auburngap/retry"
+	"auburngap/route"
+)
+
+const (
+	// connectTime is what a new connection costs.
+	connectTime = time.Millisecond
+	// connectTimeout is when a connection that gets no answer is given up.
+	connectTimeout = 200 * time.Millisecond
 )
 
 // call is one call of a service, with its attempts.
@@ -17,6 +25,7 @@
 	depth   int
 	parent  *attempt
 	number  int
+	tried   route.Choice
 	done    func(outcome)
 }
 
@@ -24,6 +33,8 @@
 type attempt struct {
 	call   *call
 	target *target
+	choice route.Choice
+	sent   time.Time
 	ticket admission.Ticket
 	// limiter is the one that the ticket was offered to.
 	limiter                     *admission.Limiter
@@ -44,20 +55,24 @@
 		return
 	}
 	c.number++
-	t := c.from.choose(c.spec.service)
-	if t == nil {
+	choice, ok := c.from.pickers[c.spec.service].PickOther(s.now, s.random, c.tried)
+	if !ok {
 		c.retryOr(notRunNoBackend)
 		return
 	}
-	a := &attempt{call: c, target: t, lent: c.budget.Lend()}
+	t := s.byVM[choice.Target.VM]
+	c.tried = choice
+	a := &attempt{call: c, target: t, choice: choice, lent: c.budget.Lend(), sent: s.now}
 	a.budget = retry.NewBudget(a.lent)
 	c.request.live = append(c.request.live, a)
-	view := &c.from.views[t.index]
-	view.inFlight++
 	delay := s.delay(c.from.zone, t.zone)
-	if !view.connected {
-		view.connected = true
-		delay += time.Millisecond
+	if !c.from.connected[t.index] {
+		c.from.connected[t.index] = true
+		delay += connectTime
+	}
+	if s.apart(c.from.zone, t.zone) {
+		s.after(connectTimeout, func() { a.fail(notRunNoBackend) })
+		return
 	}
 	s.after(delay, func() {
 		if !a.ended {
@@ -212,7 +227,7 @@
 	s := a.call.request.sim
 	a.ended = true
 	a.call.request.live = remove(a.call.request.live, a)
-	if s.policy.gate && !a.target.dead {
+	if s.policy.gate && o != notRunNoBackend {
 		a.signal[a.target.service] = a.target.limiter.Level(s.now)
 	}
 	load, limit := a.target.limiter.InFlight()+a.target.limiter.Queued(), a.target.limiter.Limit()
@@ -222,12 +237,11 @@
 // answer arrives at the calling node.
 func (a *attempt) answer(o outcome, load, limit int) {
 	c := a.call
-	view := &c.from.views[a.target.index]
-	view.inFlight--
-	view.load, view.limit = load, limit
-	if o.cause == request.CauseNoBackend {
-		view.ejected = c.request.sim.now.Add(ejection)
+	now, picker := c.request.sim.now, c.from.pickers[c.spec.service]
+	if c.request.sim.policy.limiter && o.cause != request.CauseNoBackend {
+		picker.Observe(now, a.choice, load, limit)
 	}
+	picker.Done(now, a.choice, o.result(), now.Sub(a.sent))
 	c.from.learn(a.signal)
 	if c.parent != nil {
 		c.parent.merge(a.signal)
@@ -257,7 +271,7 @@
 		if a.working {
 			a.account(min(s.now.Sub(a.workStart), a.workTime))
 		}
-		a.call.from.views[a.target.index].inFlight--
+		a.call.from.pickers[a.call.spec.service].Done(s.now, a.choice, route.Cancelled, 0)
 		if a.limiter == a.target.limiter {
 			a.target.abandon(a)
 		}
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -29,7 +29,7 @@
 	Site      string `arg:"--site" help:"mugWorks or styleDesk; both if empty"`
 	Scenarios string `arg:"--scenarios" help:"letters, such as a,c; all if empty"`
 	Policies  string `arg:"--policies" help:"none, fixed, previous, full; all if empty"`
-	Off       string `arg:"--off" help:"mechanisms that the previous version lacks: gate, fair, budget, cancel, measured, adaptive"`
+	Off       string `arg:"--off" help:"mechanisms that the previous version lacks: gate, fair, budget, cancel, adaptive"`
 	Runs      int    `arg:"--runs" default:"5" help:"seeded runs of each"`
 	Seed      uint64 `arg:"--seed" default:"1" help:"seed of the first run"`
 	Parallel  int    `arg:"--parallel" default:"2" help:"runs at once"`
--- a/experiment/node.go
+++ b/experiment/node.go
@@ -1,13 +1,14 @@
 package experiment
 
 import (
-	"time"
+	"strconv"
 
 	"auburngap/admission"
+	"auburngap/route"
 )
 
-// node is what one node of the system knows: levels, its own counts, and what
-// came back with answers.
+// node is what one node of the system knows: admission levels and the targets
+// as its pickers see them.
 type node struct {
 	sim      *sim
 	zone     int
@@ -15,35 +16,26 @@
 	services []admission.ServiceID
 	// paths lists the services of each route's call graph.
 	paths [][]admission.ServiceID
-	views []view
-}
-
-// view is what a node knows of a target.
-type view struct {
-	// inFlight counts the node's own calls; load is the target's as it answered.
-	inFlight, load int
-	limit          int
-	ejected        time.Time
-	connected      bool
+	// pickers choose the targets of each service; connected marks the targets
+	// that a call has gone to before.
+	pickers   []*route.Picker
+	connected []bool
 }
 
 // signal is what an answer tells of the services on its path: the levels, zero
 // where there is none.
 type signal [8]uint16
 
-const ejection = time.Second
-
-func newNode(s *sim, zone int) *node {
-	n := &node{sim: s, zone: zone, gate: admission.NewGate(s.gateConfig()), views: make([]view, len(s.targets))}
+func newNode(s *sim, vm string, zone int) *node {
+	n := &node{sim: s, zone: zone, gate: admission.NewGate(s.gateConfig()), connected: make([]bool, len(s.targets))}
 	for _, service := range s.site.services {
 		n.services = append(n.services, n.gate.Service(service.name))
+		n.pickers = append(n.pickers, route.New(route.Config{VM: vm, Zone: zoneName(zone)}))
 	}
 	for i := range s.site.routes {
 		n.paths = append(n.paths, n.path(&s.site.routes[i].call, nil))
 	}
-	for i, t := range s.targets {
-		n.views[i].limit = t.announced
-	}
+	n.update()
 	return n
 }
 
@@ -74,50 +66,17 @@
 	}
 }
 
-// choose picks a target: the better of two at random in the own zone, or in
-// all zones once that one is busy; nil where there is none.
-func (n *node) choose(service int) *target {
-	local := n.pick(service, true)
-	if local != nil && n.load(local) < 0.8 {
-		return local
-	}
-	other := n.pick(service, false)
-	if other == nil || (local != nil && n.load(local) <= n.load(other)) {
-		return local
-	}
-	return other
-}
-
-func (n *node) pick(service int, local bool) *target {
-	var candidates []*target
+// update takes in the directory's list as the node can reach it.
+func (n *node) update() {
+	lists := make([][]route.Target, len(n.pickers))
 	for _, t := range n.sim.targets {
-		if t.service == service && (!local || t.zone == n.zone) && n.usable(t) {
-			candidates = append(candidates, t)
+		if !t.dead && !n.sim.apart(n.zone, t.zone) {
+			lists[t.service] = append(lists[t.service], t.entry())
 		}
 	}
-	if len(candidates) == 0 {
-		return nil
-	}
-	a := candidates[n.sim.random.IntN(len(candidates))]
-	b := candidates[n.sim.random.IntN(len(candidates))]
-	if n.load(b) < n.load(a) {
-		return b
+	for service, list := range lists {
+		n.pickers[service].Update(n.sim.now, list)
 	}
-	return a
 }
 
-func (n *node) usable(t *target) bool {
-	if !t.listed && !n.sim.scenario.frozen {
-		return false
-	}
-	return !n.sim.apart(n.zone, t.zone) && !n.sim.now.Before(n.views[t.index].ejected)
-}
-
-// load is a target's use as a part of its limit.
-func (n *node) load(t *target) float64 {
-	v := &n.views[t.index]
-	if n.sim.policy.measured {
-		return float64(max(v.load, v.inFlight)) / float64(max(1, v.limit))
-	}
-	return float64(t.reported+v.inFlight) / float64(t.announced)
-}
+func zoneName(zone int) string { return strconv.Itoa(zone) }
--- a/experiment/policy.go
+++ b/experiment/policy.go
@@ -17,15 +17,13 @@
 	hopRetries int
 	// cancel passes on cancellations.
 	cancel bool
-	// measured routes by the nodes' own counts and not by the servers' reports.
-	measured bool
 }
 
 // policies returns the baselines and the mechanisms of today; off lists
 // mechanisms that a further policy, the previous version, goes without.
 func policies(off string) []policy {
 	full := policy{
-		name: "full", limiter: true, gate: true, fair: true, budget: true, cancel: true, measured: true,
+		name: "full", limiter: true, gate: true, fair: true, budget: true, cancel: true,
 	}
 	list := []policy{
 		{name: "none"},
@@ -51,8 +49,6 @@
 			previous.hopRetries = 2
 		case "cancel":
 			previous.cancel = false
-		case "measured":
-			previous.measured = false
 		case "adaptive":
 			previous.fixed = true
 		}
--- a/experiment/request.go
+++ b/experiment/request.go
@@ -7,6 +7,7 @@
 	"auburngap/admission"
 	"auburngap/request"
 	"auburngap/retry"
+	"auburngap/route"
 )
 
 // outcome is how a call or a customer request ended.
@@ -30,6 +31,20 @@
 	return o
 }
 
+// result is what the choice of servers makes of the outcome.
+func (o outcome) result() route.Result {
+	switch {
+	case o.ok:
+		return route.Succeeded
+	case o == notRunNoBackend || o == serverLost:
+		return route.Failed
+	case o.cause == request.CauseOverload:
+		return route.Overloaded
+	default:
+		return route.Cancelled
+	}
+}
+
 func refusal(cause request.Cause) outcome {
 	return outcome{cause: cause}.notRun()
 }
--- a/experiment/sim.go
+++ b/experiment/sim.go
@@ -1,7 +1,6 @@
 package experiment
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"time"
 
@@ -19,9 +18,9 @@
 	policy   policy
 	random   *rand.Rand
 	now      time.Time
-	events   eventHeap
-	sequence uint64
+	events   eventQueue
 	targets  []*target
+	byVM     map[string]*target
 	// nodes sit beside the targets, one each.
 	nodes   []*node
 	retries *retry.Policy
@@ -32,35 +31,6 @@
 	active bool
 }
 
-type event struct {
-	at       time.Time
-	sequence uint64
-	run      func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-
-func (h eventHeap) Less(i, j int) bool {
-	if h[i].at.Equal(h[j].at) {
-		return h[i].sequence < h[j].sequence
-	}
-	return h[i].at.Before(h[j].at)
-}
-
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
-
-func (h *eventHeap) Pop() any {
-	last := len(*h) - 1
-	e := (*h)[last]
-	(*h)[last] = event{}
-	*h = (*h)[:last]
-	return e
-}
-
 func newSim(s site, sc scenario, p policy, seed uint64) *sim {
 	run := &sim{site: s, scenario: sc, policy: p, now: epoch, random: rand.New(rand.NewPCG(seed, 1))}
 	run.retries = retry.NewPolicy(retry.Config{})
@@ -70,16 +40,19 @@
 			run.targets = append(run.targets, newTarget(run, len(run.targets), i, k%s.zones))
 		}
 	}
+	run.byVM = make(map[string]*target)
+	for _, t := range run.targets {
+		run.byVM[t.vm()] = t
+	}
 	for _, t := range run.targets {
-		run.nodes = append(run.nodes, newNode(run, t.zone))
+		run.nodes = append(run.nodes, newNode(run, t.vm(), t.zone))
 	}
 	return run
 }
 
 // after runs a function once the delay is over.
 func (s *sim) after(delay time.Duration, run func()) {
-	s.sequence++
-	heap.Push(&s.events, event{at: s.now.Add(delay), sequence: s.sequence, run: run})
+	s.events.push(s.now.Add(delay).Sub(epoch), run)
 }
 
 // run plays the whole scenario.
@@ -100,13 +73,13 @@
 	for _, t := range s.targets {
 		s.report(t)
 	}
-	end := epoch.Add(warmUp + s.scenario.length + aftermath)
-	for s.events.Len() > 0 {
-		e := heap.Pop(&s.events).(event)
-		if e.at.After(end) {
+	end := warmUp + s.scenario.length + aftermath
+	for len(s.events.events) > 0 {
+		e := s.events.pop()
+		if e.at > end {
 			return
 		}
-		s.now = e.at
+		s.now = epoch.Add(e.at)
 		e.run()
 	}
 }
@@ -143,6 +116,7 @@
 	if s.scenario.servers {
 		s.breakServers()
 	}
+	s.announce()
 }
 
 // breakServers kills the first server of service 0, restarts the first of
@@ -154,7 +128,6 @@
 	s.after(time.Second, cold.restart)
 	drained := s.first(2)
 	drained.draining, drained.lost = true, true
-	s.after(directoryLag, func() { drained.listed = false })
 }
 
 func (s *sim) first(service int) *target {
@@ -172,12 +145,26 @@
 	for _, t := range s.targets {
 		t.slow, t.stuck = 1, false
 		if t.draining {
-			t.draining, t.listed, t.lost = false, true, false
+			t.draining, t.lost = false, false
 		}
 		if t.dead {
 			t.restart()
 		}
 	}
+	s.announce()
+}
+
+// announce has the directory tell every node of a change, unless the platform
+// is down.
+func (s *sim) announce() {
+	if s.scenario.frozen {
+		return
+	}
+	s.after(directoryLag, func() {
+		for _, n := range s.nodes {
+			n.update()
+		}
+	})
 }
 
 // apart tells whether two zones cannot reach each other now.
--- a/experiment/site.go
+++ b/experiment/site.go
@@ -13,7 +13,7 @@
 	// zoneDelay and callerDelay are one way.
 	zoneDelay, callerDelay time.Duration
 	services               []service
-	routes                 []route
+	routes                 []routeSpec
 	workspaces             []workspace
 }
 
@@ -31,7 +31,7 @@
 	below    []callSpec
 }
 
-type route struct {
+type routeSpec struct {
 	name     string
 	priority request.Priority
 	// share is the part of a workspace's requests.
@@ -76,7 +76,7 @@
 			proofing:  {"proofing", 4, 35, 300, 150 * time.Millisecond},
 			batches:   {"batches", 4, 10, 150, 60 * time.Millisecond},
 		},
-		routes: []route{
+		routes: []routeSpec{
 			{
 				name: "pay", priority: 0, share: 0.15, timeout: 2 * time.Second, budget: 2,
 				call: callSpec{service: orders, below: []callSpec{{service: catalogue}, {service: batches}}},
@@ -114,7 +114,7 @@
 			notices:    {"notices", 3, 75, 550, 60 * time.Millisecond},
 			pageClose:  {"pageClose", 3, 30, 300, 60 * time.Millisecond},
 		},
-		routes: []route{
+		routes: []routeSpec{
 			{
 				name: "notice", priority: 0, share: 0.1, timeout: 2 * time.Second, budget: 2,
 				call: callSpec{service: notices, below: []callSpec{
--- a/experiment/target.go
+++ b/experiment/target.go
@@ -2,9 +2,11 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"auburngap/admission"
+	"auburngap/route"
 )
 
 const (
@@ -26,7 +28,7 @@
 	limiter                       *admission.Limiter
 	slow                          float64
 	started                       time.Time
-	stuck, draining, dead, listed bool
+	stuck, draining, dead         bool
 	// lost servers do not count towards the best possible.
 	lost bool
 	// running and waiting are the calls inside the server itself.
@@ -43,7 +45,7 @@
 	spec := s.site.services[service]
 	t := &target{
 		sim: s, index: index, service: service, zone: zone, slots: spec.slots, connections: spec.connections,
-		announced: spec.slots, slow: 1, started: epoch.Add(-time.Hour), listed: true,
+		announced: spec.slots, slow: 1, started: epoch.Add(-time.Hour),
 	}
 	t.limiter = admission.New(admission.Config{Slots: t.announced, Fixed: s.policy.fixed})
 	return t
@@ -65,7 +67,7 @@
 	for _, a := range lost {
 		a.lostServer()
 	}
-	t.sim.after(directoryLag, func() { t.listed = !t.dead })
+	t.sim.announce()
 }
 
 // restart brings a server back cold, with a new limiter.
@@ -73,7 +75,17 @@
 	t.dead, t.lost = false, false
 	t.started = t.sim.now
 	t.limiter = admission.New(admission.Config{Slots: t.announced, Fixed: t.sim.policy.fixed})
-	t.sim.after(directoryLag, func() { t.listed = !t.dead })
+	t.sim.announce()
+}
+
+func (t *target) vm() string { return strconv.Itoa(t.index) }
+
+// entry is the target as the directory lists it.
+func (t *target) entry() route.Target {
+	return route.Target{
+		VM: t.vm(), Zone: zoneName(t.zone), Slots: t.announced, Connections: t.connections,
+		Load: t.reported, Draining: t.draining, Since: t.started,
+	}
 }
 
 // ownTime draws how long one call takes without its calls to other services.
