--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,7 @@
 # The tests as README.md names them. KNOWN-RED.txt lists the only ones passed over.
 test:
 	go test -race -timeout 10m $$(./.ci/known-red-flags) ./...
+	go test $$(./.ci/known-red-flags) ./experiment
 
 # The main job: both a platform stand-in and three availability zones as processes.
 demo: build
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -46,6 +46,10 @@
 	return run.figures()
 }
 
+// raceScenarios are run with the race detector too; make test runs all of
+// them without it, since a run has one goroutine.
+const raceScenarios = "a,e"
+
 // TestTargets holds the full policy to the targets, one seeded run each.
 func TestTargets(t *testing.T) {
 	for _, site := range []site{mugWorks(), styleDesk()} {
@@ -55,6 +59,9 @@
 			}
 			t.Run(fmt.Sprintf("%s/%s", site.name, scenario.name), func(t *testing.T) {
 				t.Parallel()
+				if raceEnabled && !named(raceScenarios, scenario.name) {
+					t.Skip("run without the race detector")
+				}
 				figures := figuresOf(site, scenario)
 				for _, b := range bounds {
 					if named(b.scenarios, scenario.name) {
@@ -71,7 +78,13 @@
 func TestWrongfulRefusals(t *testing.T) {
 	for _, site := range []site{mugWorks(), styleDesk()} {
 		t.Run(site.name, func(t *testing.T) {
-			figures := figuresOf(site, scenarioNamed(t, "d"))
+			t.Parallel()
+			if raceEnabled {
+				t.Skip("run without the race detector")
+			}
+			run := newSim(site, scenarioNamed(t, "d"), full(), testSeed)
+			run.run()
+			figures := run.figures()
 			assert.Check(t, figures.Wrongful <= 0.001, "seed %d: %+v", testSeed, figures)
 		})
 	}
--- /dev/null
+++ b/experiment/race_test.go
@@ -0,0 +1,6 @@
+//go:build race
+
+package experiment
+
+// raceEnabled tells that the race detector slows this test run down.
+const raceEnabled = true
