Follow signed bundles, count requests for the report, take the operators' commands

Nodes hold the bundle in force by a Follower: only proofs that the settings' operators suffice for come into force, also from relays. A node that is told to stop before it was ready ends at once; it used to start serving after its own shutdown, found when a test's bundle was refused.

--- a/app/commands.go
+++ b/app/commands.go
@@ -6,11 +6,13 @@
 
 	"github.com/alexflint/go-arg"
 
+	"auburngap/operator"
 	"auburngap/platform/fake"
 )
 
 // commandLine is every command with its arguments.
 type commandLine struct {
+	operator.Commands
 	Node         *nodeCommand        `arg:"subcommand:node" help:"run the node beside a backend server"`
 	Settings     *settingsCommand    `arg:"subcommand:settings" help:"check a node's settings"`
 	Load         *loadCommand        `arg:"subcommand:load" help:"send an open-loop load to a node on this machine"`
@@ -28,6 +30,12 @@
 func (commandLine) Version() string { return version }
 
 func (c *commandLine) run(ctx context.Context, parser *arg.Parser, stdout, stderr io.Writer) int {
+	if handled, err := c.Commands.Run(ctx, operator.Environment{Stdout: stdout}); handled {
+		if err != nil {
+			printLine(stderr, "auburngap: "+err.Error())
+		}
+		return operator.ExitCode(err)
+	}
 	switch {
 	case c.Node != nil:
 		return c.Node.run(ctx, stderr)
--- a/node/control.go
+++ b/node/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"time"
 
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
@@ -18,6 +19,9 @@
 	Service       string `json:"service"`
 	Draining      bool   `json:"draining"`
 	LiveCalls     int    `json:"liveCalls"`
+	// BundleVersions are those in force at the nodes that are heard here, by VM,
+	// where the node is a relay.
+	BundleVersions map[string]uint64 `json:"bundleVersions,omitempty"`
 }
 
 // controlServer answers operators over HTTP.
@@ -57,6 +61,8 @@
 		c.ready(ctx)
 	case "/status":
 		c.writeJSON(ctx, c.node.Status())
+	case "/report":
+		c.writeJSON(ctx, c.node.recorder.Snapshot(time.Now()))
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
@@ -85,12 +91,13 @@
 func (n *Node) Status() Status {
 	announced, ok := n.announced.Current()
 	status := Status{
-		VM:          n.identity.VM,
-		Zone:        n.identity.Zone,
-		Incarnation: n.identity.Incarnation.String(),
-		Service:     announced.Service,
-		Draining:    !ok || announced.Draining,
-		LiveCalls:   n.tokens.Live(),
+		VM:             n.identity.VM,
+		Zone:           n.identity.Zone,
+		Incarnation:    n.identity.Incarnation.String(),
+		Service:        announced.Service,
+		Draining:       !ok || announced.Draining,
+		LiveCalls:      n.tokens.Live(),
+		BundleVersions: n.directory.BundleVersions(),
 	}
 	if index := n.bundles.Index(); index != nil {
 		status.BundleVersion = index.Bundle.Version
--- a/node/node.go
+++ b/node/node.go
@@ -28,6 +28,7 @@
 	"auburngap/directory"
 	"auburngap/peer"
 	"auburngap/platform"
+	"auburngap/report"
 	"auburngap/retry"
 	"auburngap/settings"
 )
@@ -55,7 +56,7 @@
 	identity peer.Identity
 	logger   *zap.Logger
 
-	bundles    *bundleHolder
+	bundles    *bundle.Follower
 	announced  *announcements
 	membership *membership
 	directory  *directory.Directory
@@ -72,6 +73,7 @@
 	backends      *backend.Server
 	peers         *peer.Server
 	control       *controlServer
+	recorder      *report.Recorder
 	readiness     *readiness
 }
 
@@ -103,7 +105,12 @@
 	if err != nil {
 		return ErrStart.Wrap(err, "peerTls")
 	}
-	n.bundles = &bundleHolder{logger: n.logger, onForce: n.apply}
+	n.bundles = bundle.NewFollower(bundle.FollowerConfig{
+		Client:    n.config.Platform,
+		Roots:     rootsOf(s),
+		OnForce:   n.apply,
+		OnRefused: n.refuseBundle,
+	})
 	n.announced = newAnnouncements()
 	n.tokens = backend.NewTokens()
 	n.pool = peer.NewPool(peer.PoolConfig{Self: n.identity, TLS: peerTLS, Logger: n.logger})
@@ -116,7 +123,8 @@
 		Platform:  n.config.Platform,
 		Peers:     directory.NewDialer(n.pool),
 		Bundles:   n.bundles,
-		Source:    &bundleSource{platform: n.config.Platform},
+		Source:    n.bundles,
+		Verify:    n.bundles.Verify,
 		Zones:     n.zones,
 		OnTargets: n.routes.Update,
 		Logger:    n.logger,
@@ -145,7 +153,9 @@
 	n.readiness = newReadiness(n)
 	n.local.ready = n.readiness.done
 	entry := &entry{bundle: n.bundles.Index, rates: n.shards.rates, gate: gate, next: router}
+	n.recorder = report.NewRecorder(report.Config{VM: s.VM, Zone: s.AvailabilityZone})
 	n.callers = caller.New(caller.Config{
+		Record:      n.record,
 		Bundle:      n.bundles.Index,
 		Next:        entry,
 		Logger:      n.logger,
@@ -167,6 +177,7 @@
 
 // apply subscribes to the services that a bundle in force makes this node call.
 func (n *Node) apply(index *bundle.Index) {
+	n.logger.Info("bundle: version in force", zap.Uint64("version", index.Bundle.Version))
 	n.shards.Apply(index)
 	select {
 	case n.firstBundle <- index:
@@ -175,6 +186,20 @@
 	n.directory.SetServices(n.calledServices(index))
 }
 
+// refuseBundle notes an offer that is forged or broken.
+func (n *Node) refuseBundle(version uint64, err error) {
+	n.logger.Warn("bundle: offer refused", zap.Uint64("version", version), zap.Error(err))
+}
+
+// rootsOf returns who must sign the first bundle.
+func rootsOf(s settings.Node) bundle.Trust {
+	roots := bundle.Trust{SignOffs: s.OperatorSignOffs}
+	for _, operator := range s.Operators {
+		roots.Operators = append(roots.Operators, bundle.Operator{Name: operator.Name, PublicKey: operator.PublicKey})
+	}
+	return roots
+}
+
 // resubscribe subscribes again after the backend server's service has changed.
 func (n *Node) resubscribe() {
 	if index := n.bundles.Index(); index != nil {
@@ -224,7 +249,7 @@
 	serving, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, _ := errgroup.WithContext(serving)
-	group.Go(func() error { return n.serveCallers(serving, callers) })
+	group.Go(func() error { return n.serveCallers(ctx, callers) })
 	group.Go(func() error { return n.backends.Serve(backends) })
 	group.Go(func() error { return n.control.Serve(control) })
 	group.Go(func() error { return n.peers.Serve(serving, peers) })
@@ -242,7 +267,9 @@
 
 // serveCallers serves callers once the node can serve the whole path.
 func (n *Node) serveCallers(ctx context.Context, listener net.Listener) error {
-	n.readiness.wait(ctx)
+	if !n.readiness.wait(ctx) {
+		return listener.Close()
+	}
 	n.membership.tell()
 	return n.callers.Serve(listener)
 }
--- a/node/readiness.go
+++ b/node/readiness.go
@@ -29,12 +29,12 @@
 	return &readiness{node: n, done: make(chan struct{})}
 }
 
-// wait returns once the node is ready or the context has ended.
-func (r *readiness) wait(ctx context.Context) {
+// wait returns true once the node is ready, false where the context has ended first.
+func (r *readiness) wait(ctx context.Context) bool {
 	select {
 	case <-r.node.directory.CaughtUp():
 	case <-ctx.Done():
-		return
+		return false
 	}
 	caughtUp := time.Now()
 	for ctx.Err() == nil {
@@ -42,10 +42,11 @@
 		if index != nil && (r.knowsAll(index) || time.Since(caughtUp) > readinessPatience) {
 			r.node.logger.Info("node: ready", zap.Duration("after", time.Since(caughtUp)))
 			close(r.done)
-			return
+			return true
 		}
 		pause(ctx, readinessPoll)
 	}
+	return false
 }
 
 func (r *readiness) knowsAll(index *bundle.Index) bool {
--- a/settings/check.go
+++ b/settings/check.go
@@ -37,11 +37,11 @@
 	c.demand(n.PlatformTimeout > 0, "platformTimeout", "longer than 0s")
 	c.demand(n.DrainTimeout > 0, "drainTimeout", "longer than 0s")
 	c.demand(n.IdleTimeout > 0, "idleTimeout", "longer than 0s")
-	c.demand(len(n.OperatorKeys) > 0, "operatorKeys", "at least one Ed25519 public key, base64")
-	for _, key := range n.OperatorKeys {
-		c.demand(isPublicKey(key), "operatorKeys", "Ed25519 public keys, base64")
+	c.demand(len(n.Operators) > 0, "operators", "at least one operator with name and publicKey")
+	for _, operator := range n.Operators {
+		c.demand(operator.Name != "" && isPublicKey(operator.PublicKey), "operators", "a name and an Ed25519 public key, base64, for each")
 	}
-	c.demand(n.OperatorSignOffs >= 1 && n.OperatorSignOffs <= max(len(n.OperatorKeys), 1), "operatorSignOffs", "from 1 to the number of operatorKeys")
+	c.demand(n.OperatorSignOffs >= 1 && n.OperatorSignOffs <= max(len(n.Operators), 1), "operatorSignOffs", "from 1 to the number of operators")
 	c.tls(n.PeerTLS, "peerTls")
 	c.tls(n.CallerTLS, "callerTls")
 	_, err := zapcore.ParseLevel(n.LogLevel)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -35,9 +35,9 @@
 	PlatformTimeout Duration `json:"platformTimeout"`
 	// Seeds are peer addresses of nodes to ask for the directory when the platform is down.
 	Seeds []netip.AddrPort `json:"seeds"`
-	// OperatorKeys are the Ed25519 public keys (base64) that may sign the first bundle.
-	OperatorKeys []string `json:"operatorKeys"`
-	// OperatorSignOffs is how many of the operator keys must sign the first bundle.
+	// Operators may sign the first bundle; each later one names who signs the next.
+	Operators []Operator `json:"operators"`
+	// OperatorSignOffs is how many of the operators must sign the first bundle.
 	OperatorSignOffs int `json:"operatorSignOffs"`
 	// PeerTLS are the node's keys towards other nodes.
 	PeerTLS TLS `json:"peerTls"`
@@ -51,6 +51,14 @@
 	IdleTimeout Duration `json:"idleTimeout"`
 }
 
+// Operator is a person who may sign the first bundle.
+type Operator struct {
+	// Name is the operator's name, as the bundle has it.
+	Name string `json:"name"`
+	// PublicKey is the operator's Ed25519 public key, base64.
+	PublicKey string `json:"publicKey"`
+}
+
 // TLS are the keys of one side, as PEM text, since VMs keep no files.
 type TLS struct {
 	// Plain turns TLS off, for one's own machine.
--- a/site/process.go
+++ b/site/process.go
@@ -9,7 +9,7 @@
 
 const (
 	startTimeout = 10 * time.Second
-	stopTimeout  = 40 * time.Second
+	stopTimeout  = 10 * time.Second
 	pollInterval = 10 * time.Millisecond
 )
 
--- a/site/site.go
+++ b/site/site.go
@@ -46,8 +46,10 @@
 	// Directory takes settings and logs.
 	Directory string
 	VMs       []VM
-	// OperatorKeys are the public keys that the nodes trust for the first bundle.
-	OperatorKeys []string
+	// Operators are those whom the nodes trust for the first bundle.
+	Operators []settings.Operator
+	// SignOffs is how many of them must sign it; zero is one.
+	SignOffs int
 	// Platform is the address of a service that runs already; where it is not
 	// valid the site starts a stand-in.
 	Platform netip.AddrPort
@@ -115,7 +117,8 @@
 	node.PlatformAddress = s.Platform
 	node.PeerTLS.Plain = true
 	node.CallerTLS.Plain = true
-	node.OperatorKeys = s.config.OperatorKeys
+	node.Operators = s.config.Operators
+	node.OperatorSignOffs = max(s.config.SignOffs, 1)
 	for _, address := range []*netip.AddrPort{&node.CallerAddress, &node.PeerAddress, &node.BackendAddress, &node.ControlAddress} {
 		free, err := freeAddress()
 		if err != nil {
