Replace witnesses only where a majority is left; walk with short horizons

Cause: with two of three witnesses cut off, an owner shrank its witnesses to itself, and a change that the old witnesses never released could never be settled. A set is no longer shrunk below three, and the horizon settles it.

The specification has a fixed set of witnesses. The walks therefore also draw short horizons, quick replacement and few leases, and a scripted run shows that two owners act if replaced witnesses are not asked to release, and that none do as they are (go test -run Replaced ./shard).

--- a/shard/machine.go
+++ b/shard/machine.go
@@ -36,6 +36,7 @@
 type faults struct {
 	clockAfter, noWait, noRelease, earlyRelease, noBind  bool
 	restartConfirms, restartReleases, lateStop, noMargin bool
+	forgetWitnesses                                      bool
 }
 
 // Machine decides for one VM: the owner's and taker's side, and the witness's.
--- a/shard/ownership.go
+++ b/shard/ownership.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 )
 
@@ -174,6 +175,9 @@
 	was := old.Owner == m.cfg.VM
 	switch {
 	case mine && was && entry.Epoch == old.Epoch:
+		if !slices.EqualFunc(entry.Unreleased, old.Unreleased, slices.Equal) {
+			m.slots[i].aloneAt = m.horizonEnd()
+		}
 	case mine && was && entry.FromEpoch == old.Epoch && m.slots[i].state != "handing":
 		m.continueAs(i, old, entry)
 	case mine:
@@ -204,5 +208,11 @@
 	s.unlocked = false
 	s.confirmedUntil = never
 	s.kept = 0
-	s.aloneAt = m.now + longer(m.cfg.Timing.Horizon+m.cfg.Timing.Term)
+	s.aloneAt = m.horizonEnd()
+}
+
+// horizonEnd is when the last confirmation that any witness may have given for
+// an earlier version has run out.
+func (m *Machine) horizonEnd() time.Duration {
+	return m.now + longer(m.cfg.Timing.Horizon+m.cfg.Timing.Term)
 }
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -53,7 +53,7 @@
 		if !m.cfg.faults.noBind {
 			m.fire(i, "unbound")
 		}
-	case len(e.Unreleased) > 0 && s.unlocked && m.releasedAll(i):
+	case len(e.Unreleased) > 0 && s.unlocked && (m.releasedAll(i) || m.now >= s.aloneAt):
 		m.fire(i, "settle")
 	case m.witnessesOutdated(e):
 		m.draftWitnesses(i)
@@ -125,7 +125,9 @@
 // draftWitnesses replaces the witnesses; the old ones have yet to release.
 func (m *Machine) draftWitnesses(i int) {
 	e := &m.plan.draft.Shards[i]
-	e.Unreleased = addSet(e.Unreleased, e.Witnesses)
+	if !m.cfg.faults.forgetWitnesses {
+		e.Unreleased = addSet(e.Unreleased, e.Witnesses)
+	}
 	e.Witnesses = m.witnessSet()
 	m.plan.changed, m.plan.bump = true, true
 }
@@ -140,11 +142,16 @@
 	return vms
 }
 
+// fewestWitnesses is the size below which a set of witnesses is not shrunk: a
+// smaller set could lose its majority with one VM.
+const fewestWitnesses = 3
+
 // witnessesOutdated tells whether a witness has been without a lease for too
 // long, or a candidate is not a witness yet. A change waits for the releases
 // of the one before.
 func (m *Machine) witnessesOutdated(e *Entry) bool {
-	if len(e.Unreleased) > 0 || !m.steady() || slices.Equal(e.Witnesses, m.witnessSet()) {
+	set := m.witnessSet()
+	if len(e.Unreleased) > 0 || !m.steady() || slices.Equal(e.Witnesses, set) || len(set) < min(fewestWitnesses, len(e.Witnesses)) {
 		return false
 	}
 	for _, vm := range e.Witnesses {
--- a/shard/planted_test.go
+++ b/shard/planted_test.go
@@ -1,6 +1,11 @@
 package shard
 
-import "testing"
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
 
 // TestPlantedFaultsAreSeen shows that random runs would find the faults that
 // the specification's negative checks plant. Each draws from the steps that
@@ -14,14 +19,14 @@
 		// from is a seed shortly before one that shows the fault.
 		from uint64
 	}{
-		{"clock read after the renewal's answer", faults{clockAfter: true}, []string{"pauseInCall", "long", "resume", "calm"}, 140},
+		{"clock read after the renewal's answer", faults{clockAfter: true}, []string{"pauseInCall", "long", "resume", "calm"}, 170},
 		{"no margin for clock rates", faults{noMargin: true}, all, 0},
 		{"no wait for the owner's lease", faults{noWait: true}, all, 0},
 		{"no releases awaited", faults{noRelease: true}, all, 0},
 		{"release before the confirmation runs out", faults{earlyRelease: true}, all, 0},
-		{"lease not named by the table", faults{noBind: true}, []string{"pause", "lateWrite", "long", "long", "resume", "calm"}, 552},
-		{"restarted witness confirms at once", faults{restartConfirms: true}, []string{"pause", "long", "split", "calm"}, 315},
-		{"restarted witness releases at once", faults{restartReleases: true}, []string{"split", "split", "long", "calm"}, 82},
+		{"lease not named by the table", faults{noBind: true}, []string{"pause", "lateWrite", "long", "long", "resume", "calm"}, 755},
+		{"restarted witness confirms at once", faults{restartConfirms: true}, []string{"pause", "long", "split", "calm"}, 318},
+		{"restarted witness releases at once", faults{restartReleases: true}, []string{"split", "split", "long", "calm"}, 236},
 		{"owner goes on after it has handed over", faults{lateStop: true}, []string{"shutdown", "run", "messages", "calm"}, 0},
 	}
 	const seeds = 1000
@@ -37,3 +42,54 @@
 		})
 	}
 }
+
+// isolate cuts a group of VMs off from the platform and from the others.
+func (s *sim) isolate(group ...string) {
+	inside := map[string]bool{}
+	for _, name := range group {
+		inside[name] = true
+	}
+	for _, name := range s.names {
+		n := s.nodes[name]
+		n.noPlatform = inside[name]
+		for _, other := range s.names {
+			n.cut[other] = inside[name] != inside[other]
+		}
+	}
+}
+
+// TestReplacedWitnessesMustRelease brings about what the specification leaves
+// out: the witnesses change while the earlier ones are cut off, and the owner
+// then restarts among those.
+func TestReplacedWitnessesMustRelease(t *testing.T) {
+	for _, f := range []faults{{}, {forgetWitnesses: true}} {
+		s := newSim(1, 5, 1, f)
+		s.timing.WitnessGrace = 2 * time.Second
+		for _, n := range s.nodes {
+			n.kill()
+		}
+		first := s.names[:3]
+		for _, name := range first {
+			s.nodes[name].start()
+		}
+		s.run(10 * time.Second)
+		owner := s.owners(0)[0]
+		var early []string
+		for _, name := range first {
+			if name != owner {
+				early = append(early, name)
+			}
+		}
+		s.isolate(early...)
+		s.run(8 * time.Second)
+		s.nodes["vm3"].start()
+		s.nodes["vm4"].start()
+		s.run(10 * time.Second)
+		assert.DeepEqual(t, s.table.Shards[0].Witnesses, []string{owner, "vm3", "vm4"})
+		s.isolate(first...)
+		s.nodes[owner].kill()
+		s.nodes[owner].start()
+		s.run(20 * time.Second)
+		assert.Equal(t, len(s.violations) > 0, f.forgetWitnesses, "%+v: %v", f, s.violations)
+	}
+}
--- a/shard/random_test.go
+++ b/shard/random_test.go
@@ -117,8 +117,12 @@
 }
 
 // randomSim returns a zone with clocks off within the bound, already running.
+// In some the horizon is short, witnesses are soon replaced, or few VMs hold leases.
 func randomSim(seed uint64, vms int, f faults, pick func(n int) int) *sim {
 	s := newSim(seed, vms, 2, f)
+	s.timing.Horizon = []time.Duration{time.Hour, 15 * time.Second}[pick(2)]
+	s.timing.WitnessGrace = []time.Duration{30 * time.Second, 2 * time.Second}[pick(2)]
+	s.maxCandidates = []int{7, 3}[pick(2)]
 	rate := func() float64 { return 1 + RateBound*float64(pick(3)-1) }
 	s.rate = rate()
 	for _, name := range s.names {
--- a/shard/sim_test.go
+++ b/shard/sim_test.go
@@ -22,6 +22,8 @@
 	timing Timing
 	faults faults
 	shards int
+	// maxCandidates is Config.MaxCandidates; zero is the default.
+	maxCandidates int
 
 	table         Table
 	tableRevision platform.Revision
@@ -147,7 +149,7 @@
 	n.inherited = map[int]bool{}
 	cfg := Config{
 		VM: n.vm, Zone: "z", Address: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: fmt.Sprint(n.vm, "/", n.incarnation),
-		Shards: n.sim.shards, Timing: n.sim.timing, faults: n.sim.faults,
+		Shards: n.sim.shards, MaxCandidates: n.sim.maxCandidates, Timing: n.sim.timing, faults: n.sim.faults,
 		Violated: func(name string) { n.sim.violations = append(n.sim.violations, name) },
 	}
 	m, err := NewMachine(cfg, n.clock())
