--- a/app/app.go
+++ b/app/app.go
@@ -15,6 +15,8 @@
 	"syscall"
 
 	"github.com/alexflint/go-arg"
+
+	"auburngap/operator"
 )
 
 // The exit codes of every command.
@@ -48,6 +50,9 @@
 		if err := parser.WriteHelpForSubcommand(stdout, parser.SubcommandNames()...); err != nil {
 			return fail(stderr, err), true
 		}
+		if names := parser.SubcommandNames(); len(names) > 0 {
+			printLine(stdout, "\n"+operator.Examples(names[0]))
+		}
 		return ExitOK, true
 	case errors.Is(err, arg.ErrVersion):
 		printLine(stdout, version)
--- a/app/commands.go
+++ b/app/commands.go
@@ -6,16 +6,18 @@
 
 	"github.com/alexflint/go-arg"
 
+	"auburngap/operator"
 	"auburngap/platform/fake"
 )
 
 // commandLine is every command with its arguments.
 type commandLine struct {
-	Node         *nodeCommand        `arg:"subcommand:node" help:"run the node beside a backend server"`
-	Settings     *settingsCommand    `arg:"subcommand:settings" help:"check a node's settings"`
-	Load         *loadCommand        `arg:"subcommand:load" help:"send an open-loop load to a node on this machine"`
-	PlatformFake *fake.Command       `arg:"subcommand:platform-fake" help:"run a stand-in of the platform's key-value service, for tests"`
-	BackendFake  *backendFakeCommand `arg:"subcommand:backend-fake" help:"run a fake backend server, for tests"`
+	Node         *nodeCommand     `arg:"subcommand:node" help:"run the node beside a backend server"`
+	Settings     *settingsCommand `arg:"subcommand:settings" help:"check a node's settings"`
+	Load         *loadCommand     `arg:"subcommand:load" help:"send an open-loop load to a node on this machine"`
+	PlatformFake *fake.Command    `arg:"subcommand:platform-fake" help:"run a stand-in of the platform's key-value service, for tests"`
+	operator.Commands
+	BackendFake *backendFakeCommand `arg:"subcommand:backend-fake" help:"run a fake backend server, for tests"`
 }
 
 // Description implements arg.Described.
@@ -40,6 +42,12 @@
 	case c.BackendFake != nil:
 		return exitOf(stderr, c.BackendFake.run(ctx))
 	}
+	if handled, err := c.Commands.Run(ctx, operator.Environment{Stdout: stdout}); handled {
+		if err != nil {
+			printLine(stderr, "auburngap: "+err.Error())
+		}
+		return operator.ExitCode(err)
+	}
 	parser.WriteHelp(stderr)
 	return ExitUsage
 }
--- a/bundle/rollout.go
+++ b/bundle/rollout.go
@@ -96,6 +96,21 @@
 	return record, nil
 }
 
+// Publish proposes, signs and rolls out a bundle in one go, for those who hold
+// enough operators' keys: the demo and tests.
+func (s *Store) Publish(ctx context.Context, request ProposeRequest, signers ...Signer) (Record, error) {
+	proposal, err := s.Propose(ctx, request)
+	if err != nil {
+		return Record{}, err
+	}
+	for _, signer := range signers {
+		if _, err := s.Approve(ctx, proposal.ID(), signer); err != nil {
+			return Record{}, err
+		}
+	}
+	return s.Rollout(ctx, proposal.ID())
+}
+
 // MissingSignOffs returns how many sign-offs a proposal still needs; zero
 // where it may be rolled out.
 func (s *Store) MissingSignOffs(ctx context.Context, proposal Proposal) (int, error) {
--- a/bundle/signoff.go
+++ b/bundle/signoff.go
@@ -61,6 +61,23 @@
 	Operators []Operator
 }
 
+// RootTrust returns the trust of a node's settings: public keys in base64, and
+// how many of them must sign the first version. It returns ErrCorrupt for what
+// is no key, and where fewer keys than sign-offs are named.
+func RootTrust(publicKeys []string, signOffs int) (Trust, error) {
+	trust := Trust{SignOffs: signOffs}
+	for _, key := range publicKeys {
+		if !bytesOf(key, ed25519.PublicKeySize) {
+			return Trust{}, ErrCorrupt.New("%q is no Ed25519 public key in base64", key)
+		}
+		trust.Operators = append(trust.Operators, Operator{PublicKey: key})
+	}
+	if signOffs < 1 || signOffs > len(publicKeys) {
+		return Trust{}, ErrCorrupt.New("%d sign-offs cannot come from %d keys", signOffs, len(publicKeys))
+	}
+	return trust, nil
+}
+
 // trustOf returns the trust that a bundle's own operators carry.
 func trustOf(b *Bundle) Trust {
 	return Trust{Version: b.Version, SignOffs: b.SignOffs, Operators: b.Operators}
--- a/bundle/store_test.go
+++ b/bundle/store_test.go
@@ -42,13 +42,28 @@
 }
 
 func rootTrust() bundle.Trust {
-	trust := bundle.Trust{SignOffs: 2}
+	var keys []string
 	for _, name := range operators {
-		trust.Operators = append(trust.Operators, operatorOf(name))
+		keys = append(keys, operatorOf(name).PublicKey)
+	}
+	trust, err := bundle.RootTrust(keys, 2)
+	if err != nil {
+		panic(err)
 	}
 	return trust
 }
 
+func TestRootTrustFaults(t *testing.T) {
+	key := operatorOf("tuyeni").PublicKey
+	for _, c := range []struct {
+		keys     []string
+		signOffs int
+	}{{nil, 1}, {[]string{key}, 0}, {[]string{key}, 2}, {[]string{"key"}, 1}} {
+		_, err := bundle.RootTrust(c.keys, c.signOffs)
+		assertType(t, err, bundle.ErrCorrupt)
+	}
+}
+
 type desk struct {
 	*testing.T
 	service *fake.Service
@@ -91,9 +106,9 @@
 
 func (d *desk) accept(b *bundle.Bundle) bundle.Record {
 	d.Helper()
-	proposal := d.propose(b)
-	d.approve(proposal, "ndapewa", "tuyeni")
-	return d.rollout(proposal)
+	record, err := d.store.Publish(d.Context(), bundle.ProposeRequest{Bundle: b}, signerOf("ndapewa"), signerOf("tuyeni"))
+	assert.NilError(d, err)
+	return record
 }
 
 func (d *desk) head() bundle.Head {
--- a/operator/bundle_approve.go
+++ b/operator/bundle_approve.go
@@ -19,7 +19,7 @@
 
 // Run implements command.
 func (c *BundleApprove) Run(ctx context.Context, env Environment) error {
-	signer, err := readSigner(c.Key)
+	signer, err := ReadSigner(c.Key)
 	if err != nil {
 		return err
 	}
--- a/operator/key.go
+++ b/operator/key.go
@@ -43,7 +43,7 @@
 // change proposes the newest version with a change, signs it and, if asked,
 // rolls it out.
 func (f changeFlags) change(ctx context.Context, env Environment, note string, edit func(*bundle.Bundle) error) (changed, error) {
-	signer, err := readSigner(f.Key)
+	signer, err := ReadSigner(f.Key)
 	if err != nil {
 		return changed{}, err
 	}
--- a/operator/key_pair.go
+++ b/operator/key_pair.go
@@ -50,8 +50,8 @@
 	return err
 }
 
-// readSigner reads the file of a key pair.
-func readSigner(path string) (bundle.Signer, error) {
+// ReadSigner reads the file of a key pair. It returns ErrUsage for what is none.
+func ReadSigner(path string) (bundle.Signer, error) {
 	source, err := os.ReadFile(path)
 	if err != nil {
 		return bundle.Signer{}, ErrUsage.Wrap(err, "cannot read the key")
