Report burn over several windows; fuzz what peers pass on

Cause: one window cannot tell a passing fault from a standing one. Burns are given over each window named (1m and 10m by default), goodput since the first request in the longest.

FuzzVerify found that a proof of version 0 passed: it could bring nothing into force, as every node is above it, but it is no proof.

--- a/bundle/follower.go
+++ b/bundle/follower.go
@@ -121,7 +121,7 @@
 	if err != nil {
 		return err
 	}
-	if len(records) == 0 || records[len(records)-1].Header.Version != version {
+	if version == 0 || len(records) == 0 || records[len(records)-1].Header.Version != version {
 		return ErrCorrupt.New("this is no proof of version %d", version)
 	}
 	for _, record := range records {
--- a/bundle/follower_test.go
+++ b/bundle/follower_test.go
@@ -117,3 +117,28 @@
 	assert.Equal(t, version, uint64(0))
 	assert.Equal(t, len(proof), 0)
 }
+
+// FuzzVerify offers bytes that a peer may send: none but the signed version
+// may ever come into force.
+func FuzzVerify(f *testing.F) {
+	service := fake.New(fake.Config{})
+	store := bundle.NewStore(bundle.StoreConfig{Client: service})
+	_, err := store.Publish(f.Context(), bundle.ProposeRequest{Bundle: testBundle(f)}, signerOf("ndapewa"), signerOf("tuyeni"))
+	assert.NilError(f, err)
+	config := bundle.FollowerConfig{Client: service, Roots: rootTrust()}
+	_, proof, err := bundle.NewFollower(config).Head(f.Context())
+	assert.NilError(f, err)
+	f.Add(uint64(1), proof)
+	f.Add(uint64(2), proof)
+	f.Add(uint64(1), []byte(`[{"header":{"version":1},"delta":{"changed":{"site":null}}}]`))
+	f.Add(uint64(1), []byte{0x1f, 0x8b, 8})
+	f.Fuzz(func(t *testing.T, version uint64, proof []byte) {
+		node := bundle.NewFollower(config)
+		verified := node.Verify(version, proof) == nil
+		node.Offer(version, proof)
+		assert.Equal(t, verified, node.Highest() != 0)
+		if verified {
+			assert.Equal(t, len(node.Index().Bundle.Workspaces), 8)
+		}
+	})
+}
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -191,7 +191,7 @@
 	d.env.Fetch = func(context.Context, netip.AddrPort, string) ([]byte, error) {
 		return []byte(marshal(t, recorder.Snapshot(start.Add(2*time.Minute)))), nil
 	}
-	assert.Equal(t, d.run("report --node 127.0.0.1:1 --window 1m"), operator.ExitOK)
+	assert.Equal(t, d.run("report --node 127.0.0.1:1 --window 30s --window 1m"), operator.ExitOK)
 	assert.Equal(t, d.run("report --node 127.0.0.1:1 --format json"), operator.ExitOK)
 	assert.Equal(t, d.run("report --node 127.0.0.1:1 --format html --out DIR/report.html"), operator.ExitOK)
 	assert.Equal(t, d.run("report --node 127.0.0.1:1 --format pdf"), operator.ExitFaults)
--- a/operator/report.go
+++ b/operator/report.go
@@ -25,7 +25,7 @@
 type ReportCommand struct {
 	Node   []netip.AddrPort `arg:"--node,separate" placeholder:"ADDRESS" help:"control address of a node to ask; may stand more than once"`
 	File   []string         `arg:"--file,separate" placeholder:"FILE" help:"a snapshot in a file; may stand more than once"`
-	Window time.Duration    `arg:"--window" default:"5m" placeholder:"DURATION" help:"the time before the newest snapshot"`
+	Window []time.Duration  `arg:"--window,separate" placeholder:"DURATION" help:"the time before the newest snapshot; may stand more than once; 1m and 10m where none is named"`
 	Format string           `arg:"--format" default:"text" placeholder:"FORMAT" help:"text, json or html"`
 	Out    string           `arg:"--out" placeholder:"FILE" help:"where to write; stdout where none is named"`
 }
--- a/operator/texts.go
+++ b/operator/texts.go
@@ -84,7 +84,7 @@
   auburngap status
   auburngap status --node 10.0.0.5:8083 --node 10.0.1.5:8083 --json`,
 	"report": `Examples:
-  auburngap report --node 10.0.0.5:8083 --window 5m
+  auburngap report --node 10.0.0.5:8083 --window 1m --window 5m
   auburngap report --file snapshot.json --format html --out report.html`,
 }
 
--- a/report/charts.go
+++ b/report/charts.go
@@ -127,6 +127,7 @@
 		label := fmt.Sprintf("%.2f  (%s good of %d)", row.Burn, percent(row.GoodShare), row.Requests)
 		list = append(list, bar{row.Name, row.Burn, label, shade})
 	}
+	title += " over " + windowName(s.Windows[len(s.Windows)-1])
 	chart, err := bars(title, "burn: failures over failures allowed; 1 just meets the objective", list)
 	if err != nil {
 		return nil, 0, err
--- a/report/page.go
+++ b/report/page.go
@@ -34,13 +34,20 @@
 
 type table struct {
 	Heading string
+	// Windows name the columns of the burns.
+	Windows []string
 	Rows    []tableRow
 }
 
+type cell struct {
+	Text  string
+	Alarm bool
+}
+
 type tableRow struct {
 	Row
 	Share, P50, P99, Causes string
-	Alarm                   bool
+	Burns                   []cell
 }
 
 // WriteHTML writes the summary as one page that needs nothing else.
@@ -109,14 +116,26 @@
 	var tables []table
 	for _, group := range groups[1:] {
 		t := table{Heading: strings.ToUpper(group[:1]) + group[1:]}
+		for _, window := range s.Windows {
+			t.Windows = append(t.Windows, windowName(window))
+		}
 		for _, row := range s.Group(group) {
 			t.Rows = append(t.Rows, tableRow{
 				Row: row, Share: percent(row.GoodShare),
 				P50: millis(row.P50Micros), P99: millis(row.P99Micros),
-				Causes: row.causeList(), Alarm: row.Burn >= burnAlarm,
+				Causes: row.causeList(), Burns: row.burnCells(s.Windows),
 			})
 		}
 		tables = append(tables, t)
 	}
 	return tables
 }
+
+func (r Row) burnCells(windows []time.Duration) []cell {
+	var cells []cell
+	for _, window := range windows {
+		burn := r.Burns[windowName(window)]
+		cells = append(cells, cell{Text: fmt.Sprintf("%.2f", burn), Alarm: burn >= burnAlarm})
+	}
+	return cells
+}
--- a/report/report.go
+++ b/report/report.go
@@ -8,7 +8,7 @@
 //	snapshot := recorder.Snapshot(now) // JSON of one node
 //
 //	merged := report.Merge(snapshots)
-//	summary := merged.Summarize(5*time.Minute, report.DefaultObjectives())
+//	summary := merged.Summarize(report.DefaultWindows(), report.DefaultObjectives())
 //	err := summary.WriteText(os.Stdout)
 //
 // Burn is the share of failed requests over the share that the objective
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -70,7 +70,7 @@
 
 func siteSummary(t *testing.T) report.Summary {
 	merged := report.Merge(siteSnapshots(t))
-	return merged.Summarize(5*time.Minute, report.DefaultObjectives())
+	return merged.Summarize([]time.Duration{5 * time.Minute, time.Minute}, report.DefaultObjectives())
 }
 
 func TestText(t *testing.T) {
@@ -87,7 +87,7 @@
 
 func TestHTMLOfNothing(t *testing.T) {
 	recorder := report.NewRecorder(report.Config{VM: "wdh-1", Zone: "katutura"})
-	summary := recorder.Snapshot(start).Summarize(time.Minute, report.DefaultObjectives())
+	summary := recorder.Snapshot(start).Summarize([]time.Duration{time.Minute}, report.DefaultObjectives())
 	assert.NilError(t, summary.WriteHTML(&bytes.Buffer{}))
 }
 
@@ -131,7 +131,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			recorder := report.NewRecorder(report.Config{})
 			recorder.Record(c.sample, start)
-			row := recorder.Snapshot(start).Summarize(time.Minute, report.DefaultObjectives()).Rows[0]
+			row := recorder.Snapshot(start).Summarize([]time.Duration{time.Minute}, report.DefaultObjectives()).Rows[0]
 			assert.DeepEqual(t, []uint64{row.Requests, row.Good, row.Wrongful, row.Rejected}, []uint64{c.requests, c.good, c.wrong, c.refused})
 		})
 	}
@@ -156,7 +156,7 @@
 	for i := 1; i <= 1000; i++ {
 		recorder.Record(report.Sample{Outcome: request.Answered, Latency: time.Duration(i) * time.Millisecond}, start)
 	}
-	row := recorder.Snapshot(start).Summarize(time.Minute, report.DefaultObjectives()).Rows[0]
+	row := recorder.Snapshot(start).Summarize([]time.Duration{time.Minute}, report.DefaultObjectives()).Rows[0]
 	within := func(got int64, want time.Duration) {
 		ratio := float64(got) / float64(want.Microseconds())
 		assert.Assert(t, ratio > 0.93 && ratio < 1.07, "%dus instead of %s", got, want)
--- a/report/summary.go
+++ b/report/summary.go
@@ -22,12 +22,14 @@
 
 // Summary is the state of a site over a window of time.
 type Summary struct {
-	VMs    []string      `json:"vms"`
-	Zones  []string      `json:"zones"`
-	From   time.Time     `json:"from"`
-	To     time.Time     `json:"to"`
-	Window time.Duration `json:"-"`
-	Rows   []Row         `json:"rows"`
+	VMs   []string  `json:"vms"`
+	Zones []string  `json:"zones"`
+	From  time.Time `json:"from"`
+	To    time.Time `json:"to"`
+	// Windows are those that the burns are over, the longest last; all other
+	// figures are over the longest.
+	Windows []time.Duration `json:"-"`
+	Rows    []Row           `json:"rows"`
 
 	snapshot Snapshot
 }
@@ -41,25 +43,51 @@
 	Good     uint64 `json:"good"`
 	Rejected uint64 `json:"rejected"`
 	Wrongful uint64 `json:"wrongful"`
-	// GoodPerSecond is the goodput.
+	// GoodPerSecond is the goodput since the first request in the window.
 	GoodPerSecond float64 `json:"goodPerSecond"`
 	// GoodShare is from 0 to 1; 1 without requests.
 	GoodShare float64 `json:"goodShare"`
 	// Burn is the share of failures over the share allowed.
-	Burn      float64           `json:"burn"`
-	P50Micros int64             `json:"p50Micros"`
-	P99Micros int64             `json:"p99Micros"`
-	MaxMicros int64             `json:"maxMicros"`
-	Causes    map[string]uint64 `json:"causes"`
-
-	// allowed is the number of failures that the objectives allow.
-	allowed   float64
+	Burn float64 `json:"burn"`
+	// Burns are those over each window, by its length.
+	Burns     map[string]float64 `json:"burns"`
+	P50Micros int64              `json:"p50Micros"`
+	P99Micros int64              `json:"p99Micros"`
+	MaxMicros int64              `json:"maxMicros"`
+	Causes    map[string]uint64  `json:"causes"`
+
+	// budgets are by window, in the order of Summary.Windows.
+	budgets   []budget
 	histogram *hdrhistogram.Histogram
 }
 
-// Summarize adds up the slots of the window before the snapshot was taken.
-func (s Snapshot) Summarize(window time.Duration, objectives Objectives) Summary {
-	summary := Summary{VMs: s.VMs, Zones: s.Zones, From: s.Taken.Add(-window), To: s.Taken, Window: window, snapshot: s}
+// budget is the failures of one window and how many the objectives allow.
+type budget struct {
+	failures uint64
+	allowed  float64
+}
+
+func (b budget) burn() float64 {
+	if b.allowed == 0 {
+		return 0
+	}
+	return float64(b.failures) / b.allowed
+}
+
+// DefaultWindows returns the windows where operators name none.
+func DefaultWindows() []time.Duration {
+	return []time.Duration{time.Minute, 10 * time.Minute}
+}
+
+// Summarize adds up the slots of the windows before the snapshot was taken.
+// Without a window it takes DefaultWindows.
+func (s Snapshot) Summarize(windows []time.Duration, objectives Objectives) Summary {
+	if len(windows) == 0 {
+		windows = DefaultWindows()
+	}
+	windows = slices.Sorted(slices.Values(windows))
+	longest := windows[len(windows)-1]
+	summary := Summary{VMs: s.VMs, Zones: s.Zones, From: s.Taken.Add(-longest), To: s.Taken, Windows: windows, snapshot: s}
 	rows := make(map[string]*Row)
 	for _, series := range s.Series {
 		names := []string{GroupAll, series.Service, workspaceName(series.Workspace), fmt.Sprint(series.Priority)}
@@ -68,12 +96,15 @@
 				continue
 			}
 			for i, group := range groups {
-				rowOf(rows, group, names[i]).add(slot, 1-objectives[series.Priority])
+				row := rowOf(rows, group, names[i])
+				row.add(slot)
+				row.spend(slot, s.Taken.Sub(slot.Start), windows, 1-objectives[series.Priority])
 			}
 		}
 	}
+	covered := summary.covered(longest)
 	for _, row := range rows {
-		row.finish(window)
+		row.finish(windows, covered)
 		summary.Rows = append(summary.Rows, *row)
 	}
 	slices.SortFunc(summary.Rows, compareRows)
@@ -103,13 +134,11 @@
 	return rows[key]
 }
 
-func (r *Row) add(slot Slot, allowedShare float64) {
-	counted := slot.Requests - slot.Rejected
-	r.Requests += counted
+func (r *Row) add(slot Slot) {
+	r.Requests += slot.Requests - slot.Rejected
 	r.Good += slot.Good
 	r.Rejected += slot.Rejected
 	r.Wrongful += slot.Wrongful
-	r.allowed += float64(counted) * allowedShare
 	for cause, count := range slot.Causes {
 		r.Causes[cause] += count
 	}
@@ -120,20 +149,56 @@
 	}
 }
 
-func (r *Row) finish(window time.Duration) {
-	r.GoodPerSecond = float64(r.Good) / window.Seconds()
+// spend adds a slot to the budget of each window that it is in.
+func (r *Row) spend(slot Slot, age time.Duration, windows []time.Duration, allowedShare float64) {
+	if r.budgets == nil {
+		r.budgets = make([]budget, len(windows))
+	}
+	counted := slot.Requests - slot.Rejected
+	for i, window := range windows {
+		if age <= window {
+			r.budgets[i].failures += counted - slot.Good
+			r.budgets[i].allowed += float64(counted) * allowedShare
+		}
+	}
+}
+
+// covered is the part of the longest window since the first request.
+func (s Summary) covered(longest time.Duration) time.Duration {
+	line := s.timeline()
+	if len(line.starts) == 0 {
+		return longest
+	}
+	return min(longest, max(line.length, s.To.Sub(line.starts[0])))
+}
+
+func (r *Row) finish(windows []time.Duration, covered time.Duration) {
+	r.GoodPerSecond = float64(r.Good) / covered.Seconds()
 	r.GoodShare = 1
 	if r.Requests > 0 {
 		r.GoodShare = float64(r.Good) / float64(r.Requests)
 	}
-	if r.allowed > 0 {
-		r.Burn = float64(r.Requests-r.Good) / r.allowed
+	r.Burns = make(map[string]float64)
+	for i, window := range windows {
+		r.Burn = r.budgets[i].burn()
+		r.Burns[windowName(window)] = r.Burn
 	}
 	r.P50Micros = quantile(r.histogram, 50).Microseconds()
 	r.P99Micros = quantile(r.histogram, 99).Microseconds()
 	r.MaxMicros = r.histogram.Max()
 }
 
+// windowName is such as "5m" or "1h30m".
+func windowName(window time.Duration) string {
+	name := window.String()
+	for _, zero := range []string{"m0s", "h0m"} {
+		if strings.HasSuffix(name, zero) {
+			name = strings.TrimSuffix(name, zero[1:])
+		}
+	}
+	return name
+}
+
 // Group returns the rows of a group.
 func (s Summary) Group(group string) []Row {
 	var rows []Row
--- a/report/text.go
+++ b/report/text.go
@@ -24,21 +24,38 @@
 	_, _ = fmt.Fprintf(table, "%s to %s UTC, %d VMs in %s\n",
 		s.From.UTC().Format(time.DateTime), s.To.UTC().Format(time.TimeOnly), len(s.VMs), strings.Join(s.Zones, ", "))
 	for _, group := range groups {
-		_, _ = fmt.Fprintf(table, "\n%s\tREQUESTS\tGOOD/S\tGOOD\tBURN\tP50\tP99\tMAX\tWRONGFUL\tREJECTED\tCAUSES\n", headings[group])
+		_, _ = fmt.Fprintf(table, "\n%s\tREQUESTS\tGOOD/S\tGOOD%s\tP50\tP99\tMAX\tWRONGFUL\tREJECTED\tCAUSES\n", headings[group], s.burnHeadings())
 		for _, row := range s.Group(group) {
-			_, _ = fmt.Fprintln(table, row.columns())
+			_, _ = fmt.Fprintln(table, row.columns(s.Windows))
 		}
 	}
 	return table.Flush()
 }
 
-func (r Row) columns() string {
-	return fmt.Sprintf("%s\t%d\t%.1f\t%s\t%.2f\t%s\t%s\t%s\t%d\t%d\t%s",
-		r.Name, r.Requests, r.GoodPerSecond, percent(r.GoodShare), r.Burn,
+func (r Row) columns(windows []time.Duration) string {
+	return fmt.Sprintf("%s\t%d\t%.1f\t%s%s\t%s\t%s\t%s\t%d\t%d\t%s",
+		r.Name, r.Requests, r.GoodPerSecond, percent(r.GoodShare), r.burnColumns(windows),
 		millis(r.P50Micros), millis(r.P99Micros), millis(r.MaxMicros),
 		r.Wrongful, r.Rejected, r.causeList())
 }
 
+// burnHeadings names a column for each window.
+func (s Summary) burnHeadings() string {
+	text := ""
+	for _, window := range s.Windows {
+		text += "\tBURN " + windowName(window)
+	}
+	return text
+}
+
+func (r Row) burnColumns(windows []time.Duration) string {
+	text := ""
+	for _, window := range windows {
+		text += fmt.Sprintf("\t%.2f", r.Burns[windowName(window)])
+	}
+	return text
+}
+
 func percent(share float64) string {
 	return fmt.Sprintf("%.2f%%", 100*share)
 }
