Keep sections in order; find changes in one pass over both lists

Cause: sections lay in a map, which each change copied, sorted and searched name by name. Ruled out: a binary search for each removed name, which a peer's long list would make slow; names to be removed go into a set.

--- a/bundle/delta.go
+++ b/bundle/delta.go
@@ -3,8 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
-	"maps"
+	"iter"
 	"slices"
+	"strings"
 )
 
 // Delta is what turns the sections of one version into those of another.
@@ -31,60 +32,95 @@
 // DeltaOf returns the changes between two versions' sections. From an empty
 // Sections it returns a whole delta.
 func DeltaOf(from, to Sections) Delta {
-	delta := Delta{To: to.Root(), Changed: make(map[string]json.RawMessage)}
-	if len(from.parts) > 0 {
-		delta.From = from.Root()
-	}
-	for name, part := range to.parts {
-		if from.parts[name].hash != part.hash {
-			delta.Changed[name] = part.content
+	delta := Delta{From: from.root, To: to.root, Changed: make(map[string]json.RawMessage)}
+	for before, after := range differences(from.parts, to.parts) {
+		if after == nil {
+			delta.Removed = append(delta.Removed, before.name)
+			continue
 		}
+		delta.Changed[after.name] = after.content
 	}
-	for _, name := range from.names {
-		if _, kept := to.parts[name]; !kept {
-			delta.Removed = append(delta.Removed, name)
+	return delta
+}
+
+// differences yields the sections that are not the same, ordered by name; nil
+// stands for a section that is missing on one side.
+func differences(from, to []section) iter.Seq2[*section, *section] {
+	return func(yield func(before, after *section) bool) {
+		for len(from) > 0 || len(to) > 0 {
+			before, after := firstOf(from, to)
+			if before != nil {
+				from = from[1:]
+			}
+			if after != nil {
+				to = to[1:]
+			}
+			same := before != nil && after != nil && before.hash == after.hash
+			if !same && !yield(before, after) {
+				return
+			}
 		}
 	}
-	return delta
+}
+
+// firstOf returns the section of the lowest name at the heads of two lists, of
+// which one may be empty.
+func firstOf(from, to []section) (before, after *section) {
+	switch {
+	case len(from) == 0:
+		return nil, &to[0]
+	case len(to) == 0:
+		return &from[0], nil
+	}
+	switch strings.Compare(from[0].name, to[0].name) {
+	case -1:
+		return &from[0], nil
+	case 1:
+		return nil, &to[0]
+	default:
+		return &from[0], &to[0]
+	}
 }
 
 // Apply returns the changed sections; s stays as it is. It returns ErrBase
 // where the delta is for other sections, and ErrCorrupt where the result has
 // not the hash that the delta promises.
 func (s Sections) Apply(delta Delta) (Sections, error) {
-	if !delta.Whole() && s.root != delta.From {
+	base := s.parts
+	if delta.Whole() {
+		base = nil
+	} else if s.root != delta.From {
 		return Sections{}, ErrBase.New("the delta is for sections %s", delta.From)
 	}
-	changed := Sections{parts: make(map[string]section, len(s.parts)+len(delta.Changed))}
-	if !delta.Whole() {
-		maps.Copy(changed.parts, s.parts)
-	}
-	for _, name := range delta.Removed {
-		delete(changed.parts, name)
-	}
-	for name, content := range delta.Changed {
-		changed.set(name, compact(content))
-	}
-	changed = changed.resealed(s)
-	if changed.Root() != delta.To {
+	changed := hashed(merge(base, delta))
+	if changed.root != delta.To {
 		return Sections{}, ErrCorrupt.New("the sections have not the hash %s", delta.To)
 	}
 	return changed, nil
 }
 
-// resealed is sealed for sections made from others, whose names it uses
-// where they are the same.
-func (s Sections) resealed(from Sections) Sections {
-	if len(s.parts) != len(from.names) {
-		return s.sealed()
+// merge returns the ordered parts with a delta's changes among them.
+func merge(base []section, delta Delta) []section {
+	gone := make(map[string]bool, len(delta.Removed)+len(delta.Changed))
+	for _, name := range delta.Removed {
+		gone[name] = true
 	}
-	for _, name := range from.names {
-		if _, kept := s.parts[name]; !kept {
-			return s.sealed()
+	var changed []section
+	for _, name := range sortedKeys(delta.Changed) {
+		gone[name] = true
+		changed = append(changed, newSection(name, compact(delta.Changed[name])))
+	}
+	merged := make([]section, 0, len(base)+len(changed))
+	for _, part := range base {
+		for len(changed) > 0 && changed[0].name < part.name {
+			merged = append(merged, changed[0])
+			changed = changed[1:]
+		}
+		if !gone[part.name] {
+			merged = append(merged, part)
 		}
 	}
-	s.names = from.names
-	return s.hashed()
+	return append(merged, changed...)
 }
 
 // compact undoes the white space that JSON may gain on its way.
--- a/bundle/diff.go
+++ b/bundle/diff.go
@@ -32,32 +32,22 @@
 // Diff returns the changes that lead from one bundle's sections to another's,
 // ordered by section.
 func Diff(from, to Sections) []Change {
-	names := slices.Concat(from.names, to.names)
-	slices.Sort(names)
 	var changes []Change
-	for _, name := range slices.Compact(names) {
-		before, had := from.parts[name]
-		after, has := to.parts[name]
-		if before.hash == after.hash {
-			continue
-		}
-		changes = append(changes, Change{
-			Section: name,
-			Kind:    changeKind(had, has),
-			Fields:  fieldChanges(flatten(before.content), flatten(after.content)),
-		})
+	for before, after := range differences(from.parts, to.parts) {
+		changes = append(changes, changeOf(before, after))
 	}
 	return changes
 }
 
-func changeKind(had, has bool) string {
+func changeOf(before, after *section) Change {
 	switch {
-	case !had:
-		return ChangeAdded
-	case !has:
-		return ChangeRemoved
+	case before == nil:
+		return Change{Section: after.name, Kind: ChangeAdded, Fields: fieldChanges(nil, flatten(after.content))}
+	case after == nil:
+		return Change{Section: before.name, Kind: ChangeRemoved, Fields: fieldChanges(flatten(before.content), nil)}
 	default:
-		return ChangeChanged
+		fields := fieldChanges(flatten(before.content), flatten(after.content))
+		return Change{Section: after.name, Kind: ChangeChanged, Fields: fields}
 	}
 }
 
--- a/bundle/sections.go
+++ b/bundle/sections.go
@@ -5,7 +5,6 @@
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
-	"maps"
 	"slices"
 	"strings"
 
@@ -50,17 +49,22 @@
 // rootLabel keeps hashes of bundles apart from hashes of anything else.
 const rootLabel = "auburngap bundle sections 1\n"
 
+// section is one part; its hash is that of its content.
 type section struct {
+	name    string
 	content []byte
 	hash    Hash
 }
 
+func newSection(name string, content []byte) section {
+	return section{name: name, content: content, hash: sha256.Sum256(content)}
+}
+
 // Sections is a bundle cut into parts that change one by one. A Sections is
 // never changed once made. Contents are kept as they were signed, so that a
 // node that knows fewer fields comes to the same hashes.
 type Sections struct {
-	parts map[string]section
-	names []string // of all parts, sorted
+	parts []section // ordered by name
 	root  Hash
 }
 
@@ -74,40 +78,37 @@
 
 // Split cuts a bundle into sections; its version is in none of them.
 func Split(b *Bundle) (Sections, error) {
-	s := Sections{parts: make(map[string]section)}
-	site := siteSection{SignOffs: b.SignOffs, Operators: b.Operators, Zones: b.Zones, Policy: b.Policy}
-	if err := s.add(sectionSite, site); err != nil {
-		return Sections{}, err
-	}
+	var cut cutter
+	cut.add(sectionSite, siteSection{SignOffs: b.SignOffs, Operators: b.Operators, Zones: b.Zones, Policy: b.Policy})
 	for _, w := range b.Workspaces {
-		if err := s.add(sectionWorkspaces+w.Name, w); err != nil {
-			return Sections{}, err
-		}
+		cut.add(sectionWorkspaces+w.Name, w)
 	}
 	for _, service := range b.Services {
-		if err := s.add(sectionServices+service.Name, service); err != nil {
-			return Sections{}, err
-		}
+		cut.add(sectionServices+service.Name, service)
 	}
 	for _, route := range b.Routes {
-		if err := s.add(sectionRoutes+route.Name, route); err != nil {
-			return Sections{}, err
-		}
+		cut.add(sectionRoutes+route.Name, route)
 	}
-	return s.sealed(), nil
+	slices.SortFunc(cut.parts, compareSections)
+	return hashed(cut.parts), cut.err
+}
+
+// cutter encodes sections; it keeps the first error.
+type cutter struct {
+	parts []section
+	err   error
 }
 
-func (s Sections) add(name string, content any) error {
+func (c *cutter) add(name string, content any) {
 	encoded, err := json.Marshal(content)
-	if err != nil {
-		return ErrCorrupt.Wrap(err, "section %s", name)
+	if err != nil && c.err == nil {
+		c.err = ErrCorrupt.Wrap(err, "section %s", name)
 	}
-	s.set(name, encoded)
-	return nil
+	c.parts = append(c.parts, newSection(name, encoded))
 }
 
-func (s Sections) set(name string, content []byte) {
-	s.parts[name] = section{content: content, hash: sha256.Sum256(content)}
+func compareSections(a, b section) int {
+	return strings.Compare(a.name, b.name)
 }
 
 // Root is the hash of all sections: what operators sign.
@@ -115,36 +116,40 @@
 	return s.root
 }
 
-// sealed returns the sections with their names in order.
-func (s Sections) sealed() Sections {
-	s.names = slices.Sorted(maps.Keys(s.parts))
-	return s.hashed()
-}
-
-// hashed returns the sections with their root. Names go in with their length,
-// so that no two sets of sections have the same text.
-func (s Sections) hashed() Sections {
+// hashed makes sections of ordered parts. Names go into the root with their
+// length, so that no two sets of sections have the same text.
+func hashed(parts []section) Sections {
 	digest := sha256.New()
 	digest.Write([]byte(rootLabel))
 	var line []byte
-	for _, name := range s.names {
-		hash := s.parts[name].hash
-		line = binary.BigEndian.AppendUint32(line[:0], uint32(len(name)))
-		line = append(line, name...)
-		line = append(line, hash[:]...)
+	for i := range parts {
+		part := &parts[i]
+		line = binary.BigEndian.AppendUint32(line[:0], uint32(len(part.name)))
+		line = append(line, part.name...)
+		line = append(line, part.hash[:]...)
 		digest.Write(line)
 	}
-	digest.Sum(s.root[:0])
-	return s
+	sections := Sections{parts: parts}
+	digest.Sum(sections.root[:0])
+	return sections
+}
+
+// find returns a section by name; its content is nil where there is none.
+func (s Sections) find(name string) section {
+	at, found := slices.BinarySearchFunc(s.parts, section{name: name}, compareSections)
+	if !found {
+		return section{}
+	}
+	return s.parts[at]
 }
 
 // Join makes the bundle of the sections; its lists are ordered by name. It
 // returns ErrCorrupt where a section cannot be read.
 func (s Sections) Join(version uint64) (*Bundle, error) {
 	b := &Bundle{Version: version}
-	for _, name := range s.names {
-		if err := b.take(name, s.parts[name].content); err != nil {
-			return nil, errorx.Decorate(err, "section %s", name)
+	for _, part := range s.parts {
+		if err := b.take(part.name, part.content); err != nil {
+			return nil, errorx.Decorate(err, "section %s", part.name)
 		}
 	}
 	return b, nil
--- a/bundle/sections_test.go
+++ b/bundle/sections_test.go
@@ -117,3 +117,52 @@
 func rootTrust1() bundle.Trust {
 	return bundle.Trust{SignOffs: 1, Operators: []bundle.Operator{operatorOf("ndapewa")}}
 }
+
+// BenchmarkVerify measures the check of the same change, as it comes from a
+// relay: whole, or as the change alone.
+func BenchmarkVerify(b *testing.B) {
+	for _, count := range []int{10, 1000, 10000} {
+		_, whole, delta := proofsWith(b, count)
+		for name, proof := range map[string][]byte{"whole": whole, "delta": delta} {
+			b.Run(fmt.Sprint(count, "/", name), func(b *testing.B) {
+				node, _, _ := proofsWith(b, count)
+				b.ReportAllocs()
+				for b.Loop() {
+					if err := node.Verify(2, proof); err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+		}
+	}
+}
+
+// proofsWith returns a node that holds version 1 with so many workspaces, and
+// the proofs of version 2 for any node and for that one.
+func proofsWith(t testing.TB, count int) (node *bundle.Follower, whole, delta []byte) {
+	tracker, record := trackerWith(t, count)
+	node = bundle.NewFollower(bundle.FollowerConfig{Roots: rootTrust1()})
+	node.Offer(1, encodeProof(t, tracker.Proof()))
+	assert.Equal(t, node.Highest(), uint64(1))
+	_, err := tracker.Offer(record)
+	assert.NilError(t, err)
+	return node, encodeProof(t, tracker.Proof()), encodeProof(t, tracker.Since(1))
+}
+
+func encodeProof(t testing.TB, records []bundle.Record) []byte {
+	proof, err := json.Marshal(records)
+	assert.NilError(t, err)
+	return proof
+}
+
+func BenchmarkNewIndex(b *testing.B) {
+	for _, count := range []int{10, 1000, 10000} {
+		made := large(count)
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				bundle.NewIndex(made)
+			}
+		})
+	}
+}
--- a/bundle/version.go
+++ b/bundle/version.go
@@ -95,7 +95,7 @@
 	}
 	for name := range delta.Changed {
 		b.drop(name)
-		if err := b.take(name, sections.parts[name].content); err != nil {
+		if err := b.take(name, sections.find(name).content); err != nil {
 			return nil, err
 		}
 	}
