--- a/app/app.go
+++ b/app/app.go
@@ -51,7 +51,7 @@
 			return fail(stderr, err), true
 		}
 		if names := parser.SubcommandNames(); len(names) > 0 {
-			printLine(stdout, operator.Examples(names[0]))
+			printLine(stdout, "\n"+operator.Examples(names[0]))
 		}
 		return ExitOK, true
 	case errors.Is(err, arg.ErrVersion):
--- a/app/commands.go
+++ b/app/commands.go
@@ -48,6 +48,12 @@
 	case c.BackendFake != nil:
 		return exitOf(stderr, c.BackendFake.run(ctx))
 	}
+	if handled, err := c.Commands.Run(ctx, operator.Environment{Stdout: stdout}); handled {
+		if err != nil {
+			printLine(stderr, "auburngap: "+err.Error())
+		}
+		return operator.ExitCode(err)
+	}
 	parser.WriteHelp(stderr)
 	return ExitUsage
 }
