Ask the platform for relays when those known do not answer

A node whose known relays were all dead asked the platform only in a moment in which each of them counted as failed; with three that took over a minute now and then ("three relays again: not within 1m0s", twice in some hundred runs with -race), with forty it would have taken for ever. From the second round on it asks. A node that becomes a relay now leaves its links at once and keeps what they listed for 2 s, not 5: a killed node could stay listed for over 10 s.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -150,7 +150,9 @@
 	// failed holds the addresses that did not answer, with the time of the next try.
 	failed map[netip.AddrPort]time.Time
 	// links holds the relays that the node's own two links lead to.
-	links      [nodeLinks]netip.AddrPort
+	links [nodeLinks]netip.AddrPort
+	// answered tells on which of these links the relay has answered.
+	answered   [nodeLinks]bool
 	lastSource Source
 	// retired holds the sources that are to be dropped, and when.
 	retired map[Source]time.Time
--- a/directory/link.go
+++ b/directory/link.go
@@ -20,7 +20,7 @@
 	shortestLink = time.Second
 	// retireAfter is the time for which a node that changes its role goes on
 	// with what its former links listed.
-	retireAfter = 5 * time.Second
+	retireAfter = 2 * time.Second
 )
 
 // link is a stream that this node has opened to a relay.
@@ -29,11 +29,11 @@
 	relay  Relay
 	role   peerpb.Role
 	source Source
-	// primary is set on the link that bundles come by first.
-	primary bool
-	// leave tells whether the link shall lead elsewhere; nil never.
-	leave  func() bool
-	stream Stream
+	// index tells the node's own links apart; bundles come by the first.
+	index int
+	// asRelay tells whether the node was a relay when it chose the relay.
+	asRelay bool
+	stream  Stream
 	// requests carries the relay's requests for the bundle in force.
 	requests chan struct{}
 
@@ -82,8 +82,7 @@
 		if err := l.tell(); err != nil {
 			return err
 		}
-		if l.leave != nil && l.leave() {
-			sleep(ctx, jitter(l.d.config.Timing.Spread))
+		if l.role == peerpb.Role_ROLE_NODE && l.elsewhere(ctx) {
 			return context.Canceled
 		}
 		select {
@@ -104,6 +103,19 @@
 	}
 }
 
+// elsewhere tells whether a node's own link shall lead elsewhere: at once after
+// a change of role, and after a random wait where another relay is preferred.
+func (l *link) elsewhere(ctx context.Context) bool {
+	if l.d.isRelay() != l.asRelay {
+		return true
+	}
+	if l.d.prefers(l.relay) {
+		return false
+	}
+	sleep(ctx, jitter(l.d.config.Timing.Spread))
+	return true
+}
+
 func (l *link) join() error {
 	l.d.mu.Lock()
 	newest := l.d.shelf.newest().version
@@ -111,7 +123,7 @@
 	return l.stream.Send(&peerpb.DirectoryFrame{Frame: &peerpb.DirectoryFrame_Join{Join: &peerpb.Join{
 		Role:          l.role,
 		BundleVersion: newest,
-		Primary:       l.primary,
+		Primary:       l.role == peerpb.Role_ROLE_NODE && l.index == 0,
 	}}})
 }
 
@@ -248,6 +260,7 @@
 func (l *link) noteVersions(m *peerpb.BundleVersions) {
 	switch l.role {
 	case peerpb.Role_ROLE_NODE:
+		l.d.setAnswered(l.index, true)
 		l.d.updateShelf(func(s *shelf) { s.release(m.GetReleased()) })
 	case peerpb.Role_ROLE_RELAY:
 		l.d.updateShelf(func(s *shelf) {
@@ -258,6 +271,15 @@
 	}
 }
 
+func (d *Directory) setAnswered(i int, answered bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.answered[i] != answered {
+		d.answered[i] = answered
+		d.wake()
+	}
+}
+
 func (d *Directory) setLinked(zone string, linked bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -330,8 +352,7 @@
 			wait.wait(ctx)
 			continue
 		}
-		l := &link{d: d, relay: relay, role: peerpb.Role_ROLE_NODE, source: source, primary: i == 0}
-		l.leave = func() bool { return d.isRelay() != asRelay || !d.prefers(relay) }
+		l := &link{d: d, relay: relay, role: peerpb.Role_ROLE_NODE, source: source, index: i, asRelay: asRelay}
 		began := time.Now()
 		_, err := l.follow(ctx)
 		lasted := time.Since(began) >= shortestLink
@@ -429,6 +450,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.links[i] = netip.AddrPort{}
+	d.answered[i] = false
 	if !lasted {
 		d.failed[relay.Address] = time.Now().Add(d.config.Timing.MaxRetry)
 	}
--- a/directory/search.go
+++ b/directory/search.go
@@ -17,9 +17,10 @@
 // runSearch looks for relays while the node has no link to any.
 func (d *Directory) runSearch(ctx context.Context) error {
 	wait := d.newBackoff()
-	for ctx.Err() == nil {
+	for round := 0; ctx.Err() == nil; round++ {
 		changed := d.watch()
 		if d.settled() {
+			round = -1
 			wait.reset()
 			select {
 			case <-ctx.Done():
@@ -27,29 +28,30 @@
 			}
 			continue
 		}
-		d.search(ctx)
+		d.search(ctx, round > 0)
 		wait.wait(ctx)
 	}
 	return nil
 }
 
-// settled tells whether the node is a relay or a link leads to one.
+// settled tells whether the node is a relay or a relay answers on a link.
 func (d *Directory) settled() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.slot != noSlot || d.links != [nodeLinks]netip.AddrPort{}
+	return d.slot != noSlot || d.answered != [nodeLinks]bool{}
 }
 
 // search asks a seed first, so that the platform is asked by few nodes when
-// many start at once.
-func (d *Directory) search(ctx context.Context) {
+// many start at once. Relays that are known but have not answered by the next
+// round no longer keep it from asking the platform.
+func (d *Directory) search(ctx context.Context, again bool) {
 	if seed, ok := d.chooseSeed(); ok {
 		if _, err := d.query(ctx, seed); err != nil {
 			d.logger.Debug("directory: seed did not answer", zap.Stringer("seed", seed), zap.Error(err))
 		}
 	}
 	d.resume()
-	if d.hasCandidate() {
+	if !again && d.hasCandidate() {
 		return
 	}
 	sleep(ctx, jitter(d.config.Timing.Spread))
--- /dev/null
+++ b/e2e/control_test.go
@@ -0,0 +1,111 @@
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"auburngap/platform"
+	"auburngap/platform/fake"
+	"auburngap/site"
+)
+
+// TestControlCost prints what nodes without traffic cost: memory, processor
+// time and the platform's calls, against their number. It runs on demand:
+// AUBURNGAP_MEASURE=1.
+func TestControlCost(t *testing.T) {
+	if os.Getenv("AUBURNGAP_MEASURE") == "" {
+		t.Skip("set AUBURNGAP_MEASURE=1 to measure")
+	}
+	for _, n := range []int{4, 8, 16} {
+		measureControl(t, n)
+	}
+}
+
+func measureControl(t *testing.T, n int) {
+	const settling, measured = 20 * time.Second, 20 * time.Second
+	var vms []site.VM
+	for i := range n {
+		vms = append(vms, site.VM{Name: "vm-" + strconv.Itoa(i), Zone: "palermo"})
+	}
+	s, err := site.Start(t.Context(), site.Config{Binary: binary, Directory: t.TempDir(), VMs: vms, OperatorKeys: []string{"AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="}})
+	assert.NilError(t, err)
+	defer s.Close()
+	b := chainBundle()
+	b.Zones = b.Zones[:1]
+	value, err := json.Marshal(b)
+	assert.NilError(t, err)
+	client := platform.NewHTTPClient(platform.HTTPConfig{Address: s.Platform, Timeout: 2 * time.Second})
+	_, err = client.Put(t.Context(), platform.PutRequest{Key: "bundle/head", Value: value})
+	assert.NilError(t, err)
+	time.Sleep(settling)
+	admin := fake.Admin{Address: s.Platform}
+	before, err := admin.Counts(t.Context())
+	assert.NilError(t, err)
+	cpu := cpuTime(t)
+	time.Sleep(measured)
+	after, err := admin.Counts(t.Context())
+	assert.NilError(t, err)
+	cpu = cpuTime(t) - cpu
+	perSecond := func(calls int) float64 { return float64(calls) / measured.Seconds() }
+	t.Logf("%2d nodes: %.1f MB resident and %.2f%% of a core each; platform: %.1f reads and %.1f writes a second, %+v",
+		n, residentMB(t)/float64(n), 100*cpu.Seconds()/measured.Seconds()/float64(n),
+		perSecond(after.Reads()-before.Reads()), perSecond(after.Writes()-before.Writes()), after)
+}
+
+// nodeProcesses returns the process IDs of the nodes that this test started.
+func nodeProcesses(t *testing.T) []int {
+	entries, err := os.ReadDir("/proc")
+	assert.NilError(t, err)
+	var ids []int
+	for _, entry := range entries {
+		id, err := strconv.Atoi(entry.Name())
+		if err != nil {
+			continue
+		}
+		line, err := os.ReadFile(fmt.Sprintf("/proc/%d/cmdline", id))
+		if err == nil && bytes.HasPrefix(line, []byte(binary+"\x00node\x00")) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func residentMB(t *testing.T) float64 {
+	total := 0.0
+	for _, id := range nodeProcesses(t) {
+		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", id))
+		assert.NilError(t, err)
+		for line := range strings.Lines(string(status)) {
+			var kB float64
+			if _, err := fmt.Sscanf(line, "VmRSS: %f kB", &kB); err == nil {
+				total += kB / 1024
+			}
+		}
+	}
+	return total
+}
+
+func cpuTime(t *testing.T) time.Duration {
+	const tick = 10 * time.Millisecond
+	total := time.Duration(0)
+	for _, id := range nodeProcesses(t) {
+		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", id))
+		assert.NilError(t, err)
+		// The fields after the command's name, which may hold spaces.
+		fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
+		for _, field := range fields[11:13] {
+			ticks, err := strconv.Atoi(field)
+			assert.NilError(t, err)
+			total += time.Duration(ticks) * tick
+		}
+	}
+	return total
+}
