--- a/admission/levels.go
+++ b/admission/levels.go
@@ -14,7 +14,7 @@
 	levelMemory = 500 * time.Millisecond
 	// rateMargin is the admitted rate as a part of the capacity: a little more
 	// than one, so that no slot stands idle; the queue sheds the rest in order.
-	rateMargin = 1.05
+	rateMargin = 1.1
 	// readableShare is the least admitted share that demand is inferred from.
 	readableShare = 1.0 / 1024
 	// spareOccupancy is the part of the slots in use below which there is room
