--- a/e2e/control_test.go
+++ b/e2e/control_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"os"
 	"strconv"
@@ -35,16 +34,13 @@
 	for i := range n {
 		vms = append(vms, site.VM{Name: "vm-" + strconv.Itoa(i), Zone: "palermo"})
 	}
-	s, err := site.Start(t.Context(), site.Config{Binary: binary, Directory: t.TempDir(), VMs: vms, OperatorKeys: []string{"AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="}})
+	key, operators := newOperator(t)
+	s, err := site.Start(t.Context(), site.Config{Binary: binary, Directory: t.TempDir(), VMs: vms, Operators: operators})
 	assert.NilError(t, err)
 	defer s.Close()
 	b := chainBundle()
 	b.Zones = b.Zones[:1]
-	value, err := json.Marshal(b)
-	assert.NilError(t, err)
-	client := platform.NewHTTPClient(platform.HTTPConfig{Address: s.Platform, Timeout: 2 * time.Second})
-	_, err = client.Put(t.Context(), platform.PutRequest{Key: "bundle/head", Value: value})
-	assert.NilError(t, err)
+	publish(t, platform.NewHTTPClient(platform.HTTPConfig{Address: s.Platform}), key, b)
 	time.Sleep(settling)
 	admin := fake.Admin{Address: s.Platform}
 	before, err := admin.Counts(t.Context())
--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -138,14 +138,13 @@
 		servers:   make(map[string]*fake.Server),
 		addresses: make(map[string]netip.AddrPort),
 	}
-	public, private, err := ed25519.GenerateKey(nil)
-	assert.NilError(t, err)
-	w.operator = private
+	key, operators := newOperator(t)
+	w.operator = key
 	var vms []site.VM
 	for _, vm := range w.vms() {
 		vms = append(vms, site.VM{Name: vm.name, Zone: b.Zones[len(vms)%len(b.Zones)].Name})
 	}
-	s, err := site.Start(ctx, site.Config{Binary: binary, Directory: t.TempDir(), VMs: vms, Operators: []settings.Operator{{Name: operatorName, PublicKey: base64.StdEncoding.EncodeToString(public)}}})
+	s, err := site.Start(ctx, site.Config{Binary: binary, Directory: t.TempDir(), VMs: vms, Operators: operators})
 	assert.NilError(t, err)
 	t.Cleanup(s.Close)
 	w.site = s
@@ -182,18 +181,35 @@
 // publish proposes, signs and rolls out a bundle.
 func (w *world) publish(b bundle.Bundle) uint64 {
 	w.t.Helper()
+	return publish(w.t, w.platform, w.operator, b)
+}
+
+func publish(t *testing.T, client platform.Client, key ed25519.PrivateKey, b bundle.Bundle) uint64 {
+	t.Helper()
 	b.SignOffs = 1
-	b.Operators = []bundle.Operator{{Name: operatorName, PublicKey: base64.StdEncoding.EncodeToString(w.operator.Public().(ed25519.PublicKey))}}
-	store := bundle.NewStore(bundle.StoreConfig{Client: w.platform})
-	proposal, err := store.Propose(w.ctx, bundle.ProposeRequest{Bundle: &b, Author: operatorName})
-	assert.NilError(w.t, err)
-	_, err = store.Approve(w.ctx, proposal.ID(), bundle.Signer{Name: operatorName, Key: w.operator})
-	assert.NilError(w.t, err)
-	record, err := store.Rollout(w.ctx, proposal.ID())
-	assert.NilError(w.t, err)
+	b.Operators = []bundle.Operator{{Name: operatorName, PublicKey: publicText(key)}}
+	store := bundle.NewStore(bundle.StoreConfig{Client: client})
+	proposal, err := store.Propose(t.Context(), bundle.ProposeRequest{Bundle: &b, Author: operatorName})
+	assert.NilError(t, err)
+	_, err = store.Approve(t.Context(), proposal.ID(), bundle.Signer{Name: operatorName, Key: key})
+	assert.NilError(t, err)
+	record, err := store.Rollout(t.Context(), proposal.ID())
+	assert.NilError(t, err)
 	return record.Header.Version
 }
 
+// newOperator returns an operator's key and the settings that trust it.
+func newOperator(t *testing.T) (ed25519.PrivateKey, []settings.Operator) {
+	t.Helper()
+	_, key, err := ed25519.GenerateKey(nil)
+	assert.NilError(t, err)
+	return key, []settings.Operator{{Name: operatorName, PublicKey: publicText(key)}}
+}
+
+func publicText(key ed25519.PrivateKey) string {
+	return base64.StdEncoding.EncodeToString(key.Public().(ed25519.PublicKey))
+}
+
 func (w *world) startServer(vm testVM) {
 	w.t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
