Run a whole site as the demo: traffic, a withdrawn key, a rollout, the report

One workspace sends three times its rate, a key is withdrawn and a version rolled out on the way by the operators' own commands.

--- /dev/null
+++ b/demo/report.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+)
+
+// report prints the status and the report, and writes the report as a page.
+func (d *demo) report(ctx context.Context) error {
+	nodes := d.nodeFlags()
+	status, err := d.run(ctx, append([]string{"status"}, nodes...)...)
+	if err != nil {
+		return err
+	}
+	fmt.Println(status)
+	text, err := d.run(ctx, append([]string{"report"}, nodes...)...)
+	if err != nil {
+		return err
+	}
+	fmt.Println(text)
+	page := filepath.Join(d.line.Out, "report.html")
+	if _, err := d.run(ctx, append([]string{"report", "--format", "html", "--out", page}, nodes...)...); err != nil {
+		return err
+	}
+	say("the report as a page: %s", page)
+	return nil
+}
+
+// nodeFlags names every node's control address.
+func (d *demo) nodeFlags() []string {
+	var flags []string
+	for _, vm := range d.vms {
+		flags = append(flags, "--node", d.site.Node(vm.name).Settings.ControlAddress.String())
+	}
+	return flags
+}
--- /dev/null
+++ b/demo/traffic.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
+
+	"auburngap/bundle"
+	"auburngap/httpconn"
+	"auburngap/load"
+)
+
+const (
+	// normalShare is the part of its rate that a workspace usually sends, and
+	// greedyShare that of the one over its rate.
+	normalShare = 0.5
+	greedyShare = 3
+	// largestRate bounds what one workspace sends, in requests a second.
+	largestRate = 60
+)
+
+// play sends the traffic, withdraws a key after a third of the time and rolls a
+// bundle out after two thirds.
+func (d *demo) play(ctx context.Context) error {
+	say("sending traffic for %s; workspace %s sends %d times its rate", d.line.Duration, d.greedy().Name, greedyShare)
+	group, ctx := errgroup.WithContext(ctx)
+	totals := &totals{statuses: make(map[int]int)}
+	for i, workspace := range d.bundle.Workspaces {
+		for _, r := range d.routesOf(workspace) {
+			group.Go(func() error { return d.send(ctx, workspace, r, i, totals) })
+		}
+	}
+	group.Go(func() error { return d.operate(ctx) })
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	say("answers by status: %v", totals.statuses)
+	return nil
+}
+
+// totals adds up what all callers saw.
+type totals struct {
+	mu       sync.Mutex
+	statuses map[int]int
+}
+
+func (t *totals) add(result *load.Result) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for status, count := range result.Statuses {
+		t.statuses[status] += count
+	}
+}
+
+// greedy is the workspace that sends more than its rate.
+func (d *demo) greedy() bundle.Workspace { return d.bundle.Workspaces[3] }
+
+// withdrawn is the workspace whose key is withdrawn on the way.
+func (d *demo) withdrawn() bundle.Workspace { return d.bundle.Workspaces[6] }
+
+// routesOf returns the routes that a workspace may use with a key.
+func (d *demo) routesOf(w bundle.Workspace) []bundle.Route {
+	var routes []bundle.Route
+	for _, r := range d.bundle.Routes {
+		if r.Allows(w.Name) {
+			routes = append(routes, r)
+		}
+	}
+	return routes
+}
+
+func (d *demo) rateOf(w bundle.Workspace) float64 {
+	if w.Name == d.greedy().Name {
+		return greedyShare * w.Rate
+	}
+	return min(normalShare*w.Rate, largestRate)
+}
+
+// send sends one workspace's traffic on one route through one of the nodes.
+func (d *demo) send(ctx context.Context, w bundle.Workspace, r bundle.Route, n int, totals *totals) error {
+	method := "GET"
+	if len(r.Methods) > 0 {
+		method = r.Methods[0]
+	}
+	config := load.Config{
+		Address:  d.site.Node(d.vms[n%len(d.vms)].name).Settings.CallerAddress,
+		Path:     strings.TrimSuffix(r.Prefix, "/") + "/demo",
+		Method:   method,
+		Rate:     d.rateOf(w) / float64(len(d.routesOf(w))),
+		Duration: d.line.Duration,
+	}
+	if !r.Open {
+		config.Key = "demo-" + w.Name
+	}
+	if r.Commitment {
+		config.MakeHeaders = idempotencyKey
+	}
+	result, err := load.Run(ctx, config)
+	if err != nil {
+		return err
+	}
+	totals.add(result)
+	return nil
+}
+
+func idempotencyKey() map[string]string {
+	// The system's random source does not fail on the platforms that Go supports.
+	key := uuid.Must(uuid.NewV7())
+	return map[string]string{httpconn.HeaderIdempotencyKey: key.String()}
+}
+
+// operate is what operators do while the traffic runs.
+func (d *demo) operate(ctx context.Context) error {
+	third := d.line.Duration / 3
+	if !sleep(ctx, third) {
+		return nil
+	}
+	if err := d.withdrawKey(ctx, d.withdrawn().Keys[0].ID); err != nil {
+		return err
+	}
+	if !sleep(ctx, third) {
+		return nil
+	}
+	return d.raiseRate(ctx, d.greedy().Name)
+}
+
+// sleep returns false where the context ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/operator/common.go
+++ b/operator/common.go
@@ -93,7 +93,8 @@
 // Unwrap returns the faults.
 func (e *fileError) Unwrap() error { return e.err }
 
-func fetch(ctx context.Context, node netip.AddrPort, path string) ([]byte, error) {
+// Fetch returns the body of a GET on a node's control address.
+func Fetch(ctx context.Context, node netip.AddrPort, path string) ([]byte, error) {
 	deadline := time.Now().Add(fetchTimeout)
 	if own, ok := ctx.Deadline(); ok && own.Before(deadline) {
 		deadline = own
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -85,7 +85,7 @@
 		}
 	}
 	if e.Fetch == nil {
-		e.Fetch = fetch
+		e.Fetch = Fetch
 	}
 	if e.Now == nil {
 		e.Now = time.Now
--- a/site/site.go
+++ b/site/site.go
@@ -46,10 +46,11 @@
 	// Directory takes settings and logs.
 	Directory string
 	VMs       []VM
+	// Base holds what all nodes have in common; its VM, zone and addresses are
+	// replaced. Where it names no operators it is the default with Operators.
+	Base settings.Node
 	// Operators are those whom the nodes trust for the first bundle.
 	Operators []settings.Operator
-	// SignOffs is how many of them must sign it; zero is one.
-	SignOffs int
 	// Platform is the address of a service that runs already; where it is not
 	// valid the site starts a stand-in.
 	Platform netip.AddrPort
@@ -63,6 +64,7 @@
 	Platform netip.AddrPort
 	platform *Process
 	nodes    map[string]*Node
+	backends []*Process
 }
 
 // Node is one node of the site.
@@ -111,14 +113,16 @@
 
 // prepare chooses the addresses of a node and writes its settings.
 func (s *Site) prepare(vm VM) error {
-	node := settings.Default()
+	node := s.config.Base
+	if len(node.Operators) == 0 {
+		node = settings.Default()
+		node.PeerTLS.Plain = true
+		node.CallerTLS.Plain = true
+		node.Operators = s.config.Operators
+	}
 	node.VM = vm.Name
 	node.AvailabilityZone = vm.Zone
 	node.PlatformAddress = s.Platform
-	node.PeerTLS.Plain = true
-	node.CallerTLS.Plain = true
-	node.Operators = s.config.Operators
-	node.OperatorSignOffs = max(s.config.SignOffs, 1)
 	for _, address := range []*netip.AddrPort{&node.CallerAddress, &node.PeerAddress, &node.BackendAddress, &node.ControlAddress} {
 		free, err := freeAddress()
 		if err != nil {
@@ -151,6 +155,17 @@
 	return waitForTCP(ctx, process, node.Settings.ControlAddress)
 }
 
+// StartBackend starts a fake backend server beside a node, as a process.
+func (s *Site) StartBackend(vm string, arguments ...string) error {
+	all := append([]string{"backend-fake", "--node", s.nodes[vm].Settings.BackendAddress.String()}, arguments...)
+	process, err := startProcess(s.logPath(vm+"-backend"), s.config.Binary, all...)
+	if err != nil {
+		return err
+	}
+	s.backends = append(s.backends, process)
+	return nil
+}
+
 // Node returns a node by its VM's name.
 func (s *Site) Node(vm string) *Node {
 	return s.nodes[vm]
@@ -168,6 +183,10 @@
 			node.Wait(stopTimeout)
 		}
 	}
+	for _, backend := range s.backends {
+		backend.Terminate()
+		backend.Wait(stopTimeout)
+	}
 	if s.platform != nil {
 		s.platform.Terminate()
 		s.platform.Wait(stopTimeout)
