--- a/bundle/follower.go
+++ b/bundle/follower.go
@@ -13,7 +13,8 @@
 	Client platform.Client
 	// Roots are the operators of the node's settings, who sign the first version.
 	Roots Trust
-	// OnForce is told of each version that comes into force; it may be nil.
+	// OnForce is told of each version that comes into force, one after the
+	// other and only ever a higher one; it must not call Offer. It may be nil.
 	OnForce func(*Index)
 	// OnRefused is told of offers that are forged or broken; it may be nil.
 	OnRefused func(version uint64, err error)
@@ -28,6 +29,7 @@
 	store  *Store
 	index  atomic.Pointer[Index]
 
+	offerMu sync.Mutex // held over OnForce, so that it hears of versions in order
 	mu      sync.Mutex
 	tracker *Tracker // of what is in force
 
@@ -62,6 +64,8 @@
 // Offer brings a version into force that the zone's relays hold. Lower and
 // forged ones change nothing.
 func (f *Follower) Offer(version uint64, proof []byte) {
+	f.offerMu.Lock()
+	defer f.offerMu.Unlock()
 	if version <= f.Highest() {
 		return
 	}
--- a/bundle/follower_test.go
+++ b/bundle/follower_test.go
@@ -1,6 +1,7 @@
 package bundle_test
 
 import (
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -80,6 +81,32 @@
 	assert.Assert(t, err != nil)
 }
 
+// TestOnForceHearsVersionsInOrder offers many versions at once.
+func TestOnForceHearsVersionsInOrder(t *testing.T) {
+	d := newDesk(t)
+	relay := newFollower(d)
+	proofs := make(map[uint64][]byte)
+	for range 10 {
+		d.accept(testBundle(t))
+		version, proof, err := relay.Head(t.Context())
+		assert.NilError(t, err)
+		proofs[version] = proof
+	}
+	for range 20 {
+		highest := uint64(0) // only OnForce touches it
+		node := bundle.NewFollower(bundle.FollowerConfig{Roots: rootTrust(), OnForce: func(index *bundle.Index) {
+			assert.Check(t, index.Bundle.Version > highest)
+			highest = index.Bundle.Version
+		}})
+		var group sync.WaitGroup
+		for version, proof := range proofs {
+			group.Go(func() { node.Offer(version, proof) })
+		}
+		group.Wait()
+		assert.Equal(t, highest, uint64(10))
+	}
+}
+
 // TestProofSince: nodes that lag a little get the changes alone.
 func TestProofSince(t *testing.T) {
 	d := newDesk(t)
