--- a/bundle/proposal.go
+++ b/bundle/proposal.go
@@ -138,6 +138,23 @@
 	return open, nil
 }
 
+// Changes returns what a proposal changes against the newest version, or
+// ErrConflict where another version came first.
+func (s *Store) Changes(ctx context.Context, proposal Proposal) ([]Change, error) {
+	base, err := s.current(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := base.proposed(proposal); err != nil {
+		return nil, err
+	}
+	next, err := base.Sections.Apply(proposal.Delta)
+	if err != nil {
+		return nil, err
+	}
+	return Diff(base.Sections, next), nil
+}
+
 // Signer is an operator with a private key.
 type Signer struct {
 	Name string
--- a/operator/bundle_diff.go
+++ b/operator/bundle_diff.go
@@ -5,30 +5,52 @@
 	"io"
 	"net/netip"
 
+	"github.com/google/uuid"
+
 	"auburngap/bundle"
 )
 
 // BundleDiff is "auburngap bundle diff": it prints what a bundle changes
-// against another file, or against the platform's newest version.
+// against another file, or what a bundle or a proposal changes against the
+// platform's newest version.
 type BundleDiff struct {
 	outputFlags
 	Platform netip.AddrPort `arg:"--platform,env:AUBURNGAP_PLATFORM" placeholder:"ADDRESS" help:"address of the platform's key-value service"`
-	File     string         `arg:"positional,required" placeholder:"FILE"`
+	Proposal uuid.UUID      `arg:"--proposal" placeholder:"ID" help:"print what a proposal changes, in place of a file"`
+	File     string         `arg:"positional" placeholder:"FILE"`
 	From     string         `arg:"positional" placeholder:"OLDFILE" help:"compare with this file, not with the newest version"`
 }
 
 // Run implements command.
 func (c *BundleDiff) Run(ctx context.Context, env Environment) error {
-	to, err := readSections(c.File)
+	changes, err := c.changes(ctx, env)
 	if err != nil {
 		return err
 	}
+	return c.print(env, changes, func(out io.Writer) { printChanges(out, changes) })
+}
+
+func (c *BundleDiff) changes(ctx context.Context, env Environment) ([]bundle.Change, error) {
+	switch {
+	case c.Proposal != uuid.Nil && c.Platform.IsValid():
+		store := platformFlags{Platform: c.Platform}.store(env)
+		proposal, err := store.Proposal(ctx, c.Proposal)
+		if err != nil {
+			return nil, err
+		}
+		return store.Changes(ctx, proposal)
+	case c.File == "":
+		return nil, ErrUsage.New("name a file, or --proposal and the platform")
+	}
+	to, err := readSections(c.File)
+	if err != nil {
+		return nil, err
+	}
 	from, err := c.old(ctx, env)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	changes := bundle.Diff(from, to)
-	return c.print(env, changes, func(out io.Writer) { printChanges(out, changes) })
+	return bundle.Diff(from, to), nil
 }
 
 func (c *BundleDiff) old(ctx context.Context, env Environment) (bundle.Sections, error) {
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -37,6 +37,10 @@
 }
 
 func newDesk(t *testing.T) *desk {
+	for _, name := range []string{"AUBURNGAP_PLATFORM", "AUBURNGAP_OPERATOR_KEY"} {
+		t.Setenv(name, "") // so that it is set back after the test
+		assert.NilError(t, os.Unsetenv(name))
+	}
 	d := &desk{T: t, service: fake.New(fake.Config{}), dir: t.TempDir()}
 	random := rand.NewChaCha8([32]byte{1})
 	ids := 0
@@ -152,9 +156,12 @@
 	assert.Equal(t, d.run("bundle propose --author ndapewa --note dailies DIR/more.json"+at), operator.ExitOK)
 	assert.Equal(t, d.run("key withdraw --id desk-demo --rollout --key DIR/tuyeni.key"+at), operator.ExitOK)
 	assert.Equal(t, d.run("bundle status"+at), operator.ExitOK)
+	assert.Equal(t, d.run("bundle diff --proposal "+thirdID+at), operator.ExitOK)
 	assert.Equal(t, d.run("bundle approve --key DIR/ndapewa.key "+thirdID+at), operator.ExitOK)
 	assert.Equal(t, d.run("bundle rollout "+thirdID+at), operator.ExitOK)
 	assert.Equal(t, d.run("bundle approve --key DIR/ndapewa.key "+secondID+at), operator.ExitConflict)
+	assert.Equal(t, d.run("bundle diff --proposal "+secondID+at), operator.ExitConflict)
+	assert.Equal(t, d.run("bundle diff --proposal "+secondID), operator.ExitFaults)
 	assert.Equal(t, d.run("bundle propose --author ndapewa --base 1 DIR/more.json"+at), operator.ExitConflict)
 	assert.Equal(t, d.run("status --node 127.0.0.1:1 --node 127.0.0.1:2 --node 127.0.0.1:3"+at), operator.ExitOK)
 	assert.Equal(t, d.run("status --json --node 127.0.0.1:1 --node 127.0.0.1:2"), operator.ExitOK)
--- a/operator/texts.go
+++ b/operator/texts.go
@@ -66,9 +66,10 @@
   auburngap bundle show > bundle.json
   auburngap bundle diff bundle.json
   auburngap bundle propose --author tuyeni --note "more for the dailies" bundle.json
+  auburngap bundle status
+  auburngap bundle diff --proposal ID
   auburngap bundle approve --key tuyeni.key ID
   auburngap bundle rollout ID
-  auburngap bundle status
   auburngap bundle history --count 20
 
 The platform's address may stand in AUBURNGAP_PLATFORM.`,
