--- a/app/commands.go
+++ b/app/commands.go
@@ -12,12 +12,12 @@
 
 // commandLine is every command with its arguments.
 type commandLine struct {
-	Node         *nodeCommand     `arg:"subcommand:node" help:"run the node beside a backend server"`
-	Settings     *settingsCommand `arg:"subcommand:settings" help:"check a node's settings"`
-	Load         *loadCommand     `arg:"subcommand:load" help:"send an open-loop load to a node on this machine"`
-	PlatformFake *fake.Command    `arg:"subcommand:platform-fake" help:"run a stand-in of the platform's key-value service, for tests"`
 	operator.Commands
-	BackendFake *backendFakeCommand `arg:"subcommand:backend-fake" help:"run a fake backend server, for tests"`
+	Node         *nodeCommand        `arg:"subcommand:node" help:"run the node beside a backend server"`
+	Settings     *settingsCommand    `arg:"subcommand:settings" help:"check a node's settings"`
+	Load         *loadCommand        `arg:"subcommand:load" help:"send an open-loop load to a node on this machine"`
+	PlatformFake *fake.Command       `arg:"subcommand:platform-fake" help:"run a stand-in of the platform's key-value service, for tests"`
+	BackendFake  *backendFakeCommand `arg:"subcommand:backend-fake" help:"run a fake backend server, for tests"`
 }
 
 // Description implements arg.Described.
@@ -30,6 +30,12 @@
 func (commandLine) Version() string { return version }
 
 func (c *commandLine) run(ctx context.Context, parser *arg.Parser, stdout, stderr io.Writer) int {
+	if handled, err := c.Commands.Run(ctx, operator.Environment{Stdout: stdout}); handled {
+		if err != nil {
+			printLine(stderr, "auburngap: "+err.Error())
+		}
+		return operator.ExitCode(err)
+	}
 	switch {
 	case c.Node != nil:
 		return c.Node.run(ctx, stderr)
