--- a/shard/machine_test.go
+++ b/shard/machine_test.go
@@ -134,6 +134,66 @@
 	assert.Equal(t, len(s.owners(0)), 1)
 }
 
+// TestOutageWithoutWitnesses shows what witnesses are for: if ownership ended
+// with the lease, an outage would stop the zone.
+func TestOutageWithoutWitnesses(t *testing.T) {
+	s := newSim(1, 4, 4, faults{})
+	s.timing.Horizon = 0
+	for _, n := range s.nodes {
+		n.start()
+	}
+	s.run(10 * time.Second)
+	s.outage = true
+	gone := unowned(s, 0, 5*time.Minute)
+	t.Logf("unowned for %v", gone)
+	assert.Assert(t, gone > 4*time.Minute)
+}
+
+func TestRollingRestartKeepsState(t *testing.T) {
+	s := settled(t, 4, 8)
+	without := s.gains - s.handed
+	gone := time.Duration(0)
+	for _, name := range s.names {
+		n := s.nodes[name]
+		n.handle(Shutdown{}, nil)
+		gone += unowned(s, 0, 5*time.Second)
+		assert.Assert(t, n.machine == nil)
+		n.start()
+		gone += unowned(s, 0, 5*time.Second)
+	}
+	t.Logf("shard 0 unowned for %v, %d handovers", gone, s.handed)
+	assert.Equal(t, s.gains-s.handed, without, "every gain came with its state")
+	assert.Assert(t, gone <= 200*time.Millisecond, "%v", gone)
+}
+
+// TestRestartsInOutage restarts VMs one after the other while the platform is
+// down: a restarted witness is silent, so that the majority of four is lost
+// with the second.
+func TestRestartsInOutage(t *testing.T) {
+	s := settled(t, 4, 1)
+	owner := s.owners(0)[0]
+	s.outage = true
+	s.run(10 * time.Second)
+	lasted := 0
+	for _, name := range s.names {
+		if name == owner {
+			continue
+		}
+		s.nodes[name].kill()
+		s.nodes[name].start()
+		s.run(10 * time.Second)
+		if len(s.owners(0)) == 0 {
+			break
+		}
+		lasted++
+	}
+	assert.Equal(t, lasted, 1)
+	s.outage = false
+	gone := unowned(s, 0, 20*time.Second)
+	t.Logf("owned %v after the platform is back", gone)
+	assert.Assert(t, gone <= 3*time.Second, "%v", gone)
+}
+
 func TestPlatformCallsDoNotGrowWithVMs(t *testing.T) {
 	for _, vms := range []int{8, 32, 128} {
 		s := settled(t, vms, 4)
