Spread requests for leases when many VMs start together

Cause: each VM of a zone that starts as a whole asked for a lease, put it, and gave it back: 640 platform calls in the first second of 128 VMs, three of five of them writes.

A VM now waits a time of its own within 1.5 s and reads again before it asks; owners do not wait.

--- a/shard/lease.go
+++ b/shard/lease.go
@@ -46,6 +46,8 @@
 		l.call(m, Renew{Lease: l.id})
 	case "revoke":
 		m.do(Revoke{Lease: l.id})
+	default:
+		m.check(false, "the chart's actions are known")
 	}
 }
 
@@ -66,7 +68,25 @@
 	if _, there := m.view.candidates[m.cfg.VM]; there {
 		return m.seated(m.cfg.VM)
 	}
-	return len(m.view.candidates) < m.cfg.MaxCandidates
+	return m.view.mayJoin
+}
+
+// noteVacancy lets the VM take a vacant place among the candidates only after
+// a time of its own and a further read, so that few of many VMs that start
+// together try.
+func (m *Machine) noteVacancy(readAt time.Duration) {
+	v := &m.view
+	_, there := v.candidates[m.cfg.VM]
+	vacant := !there && len(v.candidates) < m.cfg.MaxCandidates
+	if vacant && !v.vacant {
+		spread := score(m.cfg.VM, seatShard) % uint64(m.cfg.Timing.JoinSpread)
+		v.joinAt = m.now + time.Duration(spread)
+	}
+	v.vacant = vacant
+	v.mayJoin = vacant && readAt >= v.joinAt
+	if vacant && !v.mayJoin {
+		v.nextRead = min(v.nextRead, v.joinAt)
+	}
 }
 
 // owns tells whether the table names the VM for any shard.
--- a/shard/machine.go
+++ b/shard/machine.go
@@ -70,6 +70,9 @@
 	readDone   bool
 	reading    bool
 	nextRead   time.Duration
+	// vacant means that a VM more could hold a lease; this one may from joinAt on.
+	vacant, mayJoin bool
+	joinAt          time.Duration
 	// missing holds since when a witness has had no lease.
 	missing map[string]time.Duration
 }
@@ -162,6 +165,7 @@
 	m.view.candidates = e.Candidates
 	m.view.readDone = true
 	m.lease.see(m, e.Candidates[m.cfg.VM], e.SentAt)
+	m.noteVacancy(e.SentAt)
 	m.noteMissing()
 	m.learn(e.Table, true, e.Revision)
 	m.witness.read(e.Table.Version, e.SentAt)
--- a/shard/ownership.go
+++ b/shard/ownership.go
@@ -63,6 +63,7 @@
 	case "hasHeir":
 		return m.findHeir(i) != ""
 	}
+	m.check(false, "the chart's guards are known")
 	return false
 }
 
@@ -85,6 +86,8 @@
 	case "export":
 		s.heir = heir{vm: m.findHeir(i)}
 		m.do(Export{Shard: i, Epoch: m.view.table.Shards[i].Epoch, To: s.heir.vm})
+	default:
+		m.check(false, "the chart's actions are known")
 	}
 }
 
--- a/shard/timing.go
+++ b/shard/timing.go
@@ -30,6 +30,8 @@
 	// Steady is how long the platform must have been in reach before a lapsed
 	// lease is believed, so that owners can renew first after an outage.
 	Steady time.Duration
+	// JoinSpread is the time over which VMs that start together ask for leases.
+	JoinSpread time.Duration
 	// TakeStep delays the taker of each further rank.
 	TakeStep time.Duration
 	// WitnessGrace is how long a witness may be without a lease before it is replaced.
@@ -49,6 +51,7 @@
 		Horizon:      time.Hour,
 		Unreachable:  1500 * time.Millisecond,
 		Steady:       2 * time.Second,
+		JoinSpread:   1500 * time.Millisecond,
 		TakeStep:     500 * time.Millisecond,
 		WitnessGrace: 30 * time.Second,
 		Leave:        3 * time.Second,
