Try a new concurrency limit before it is trusted

A server that announces five times its slots and is saturated from its start kept the announced limit: the baseline latency was that of its own queue, a trial compared windows in which the limit was still growing, and calls begun under the old limit filled the trial's window. Now a limit that was in use for two seconds has to stand one trial, samples of an earlier limit are left out, and a kept cut may only lower the baseline.

Mean limit of a server with 35 slots that announces 175: 175 before, within 35 to 80 after; with 70 announced and refusals beyond its slots, within 25 to 42; an honest one stays at 34 to 35, and so does one that gets five times slower (go test -run TestLimit ./admission).

A limiter whose calls never end now tells a low level, and tickets of a limiter that was replaced free no slot of its successor.

--- a/admission/levels.go
+++ b/admission/levels.go
@@ -20,7 +20,8 @@
 	// spareOccupancy is the part of the slots in use below which there is room
 	// for requests that no admitted share tells anything of.
 	spareOccupancy = 0.9
-	// readableRate is the least departures a window that capacity is inferred from.
+	// readableRate is the least departures a window that the capacity of a server
+	// with room is inferred from; one without that ends no call has no capacity.
 	readableRate = 0.05
 )
 
@@ -94,7 +95,7 @@
 		}
 	}
 	l.window = levelCounts{}
-	if a.departures < readableRate {
+	if spare && a.departures < readableRate {
 		l.level = FullLevel
 		return
 	}
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -12,6 +12,9 @@
 	latencyTolerance = 1.5
 	// trialCut is the part of the limit that a trial takes away.
 	trialCut = 0.25
+	// trialAfter is the unbroken time in use after which a limit that has not
+	// stood a trial yet gets one.
+	trialAfter = 2 * time.Second
 	// growth is the part by which a limit that is in use grows in one window;
 	// startGrowth is that before the first sign of overload.
 	growth, startGrowth = 0.1, 0.5
@@ -26,7 +29,9 @@
 // concurrencyLimit adapts the number of calls at one backend server. Latency
 // that rises with the limit in use starts a trial: if latency falls with a
 // lower limit the calls were queueing inside the server and the limit stays
-// down; if not, the server itself is slower and needs all of its slots.
+// down; if not, the server itself is slower and needs all of its slots. A new
+// limit has to stand a trial too, since its server may have been queueing from
+// the start.
 type concurrencyLimit struct {
 	// current is the limit, between floor and ceiling.
 	current, floor, ceiling float64
@@ -35,6 +40,8 @@
 	// mean is the latency of the last window.
 	mean time.Duration
 
+	// changed is when the limit last changed.
+	changed time.Time
 	// settled is true once the limit has had to shrink.
 	settled bool
 
@@ -44,6 +51,9 @@
 
 type trial struct {
 	active bool
+	// stood is true once a trial has found no queueing; until then one is due.
+	stood bool
+	due   time.Time
 	// limit and mean are those before the trial.
 	limit float64
 	mean  time.Duration
@@ -66,8 +76,12 @@
 	l.current = min(l.current, l.ceiling)
 }
 
-// observe takes in one finished call.
-func (l *concurrencyLimit) observe(now time.Time, result Result) {
+// observe takes in one finished call that started at the given time. Calls
+// that started under an earlier limit say nothing of the one in force.
+func (l *concurrencyLimit) observe(now, started time.Time, result Result) {
+	if started.Before(l.changed) {
+		return
+	}
 	if l.start.IsZero() {
 		l.start = now
 	}
@@ -83,13 +97,17 @@
 	if age < windowMin || (l.samples < windowSamples && age < windowMax) {
 		return
 	}
-	l.endWindow()
+	before := l.current
+	l.endWindow(now)
+	if l.current != before {
+		l.changed = now
+	}
 	l.window = window{start: now}
 }
 
-func (l *concurrencyLimit) endWindow() {
+func (l *concurrencyLimit) endWindow(now time.Time) {
 	if l.refusedShare() > refusalTolerance {
-		l.trial = trial{}
+		l.trial.active = false
 		l.shrink(max(refusalCut, l.refusedShare()/2))
 		return
 	}
@@ -97,11 +115,14 @@
 		return
 	}
 	l.mean = l.sum / time.Duration(l.samples)
+	if !l.saturated {
+		l.trial.due = now.Add(trialAfter)
+	}
 	switch {
 	case l.trial.active:
 		l.endTrial()
-	case l.saturated && l.baseline > 0 && float64(l.mean) > latencyTolerance*float64(l.baseline):
-		l.trial = trial{active: true, limit: l.current, mean: l.mean}
+	case l.saturated && (l.slowed() || l.trialDue(now)):
+		l.trial.active, l.trial.limit, l.trial.mean = true, l.current, l.mean
 		l.shrink(trialCut)
 	default:
 		l.adjustBaseline()
@@ -116,13 +137,28 @@
 	return float64(l.refused) / float64(l.refused+l.samples)
 }
 
+// slowed tells whether latency is well above that without queueing.
+func (l *concurrencyLimit) slowed() bool {
+	return l.baseline > 0 && float64(l.mean) > latencyTolerance*float64(l.baseline)
+}
+
+func (l *concurrencyLimit) trialDue(now time.Time) bool {
+	if l.trial.due.IsZero() {
+		l.trial.due = now.Add(trialAfter)
+	}
+	return !l.trial.stood && !now.Before(l.trial.due)
+}
+
+// endTrial keeps the lower limit if latency has followed it.
 func (l *concurrencyLimit) endTrial() {
-	queued := l.saturated && float64(l.mean) < (1-trialCut/2)*float64(l.trial.mean)
-	if !queued {
-		l.current = min(l.trial.limit, l.ceiling)
-		l.baseline = l.mean
+	l.trial.active = false
+	if l.saturated && float64(l.mean) < (1-trialCut/2)*float64(l.trial.mean) {
+		l.baseline = min(l.baseline, l.mean)
+		return
 	}
-	l.trial = trial{}
+	l.baseline = l.mean
+	l.trial.stood = true
+	l.current = min(l.trial.limit, l.ceiling)
 }
 
 func (l *concurrencyLimit) adjustBaseline() {
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -80,6 +80,7 @@
 func (l *Limiter) Offer(t *Ticket, now time.Time) (Verdict, Changes) {
 	l.begin(now)
 	l.levels.offered(t.Priority)
+	t.limiter = l
 	t.offered = now
 	l.expire(now)
 	if t.missesDeadline(now, l.expectedWait()+l.expectedLatency()) {
@@ -108,14 +109,14 @@
 // Finish ends a running call and starts queued ones in its place.
 func (l *Limiter) Finish(t *Ticket, now time.Time, result Result) Changes {
 	l.begin(now)
-	if t.state != ticketRunning {
+	if t.limiter != l || t.state != ticketRunning {
 		return l.changes()
 	}
 	if result.Own <= 0 {
 		result.Own = now.Sub(t.started)
 	}
 	if !l.config.Fixed {
-		l.limit.observe(now, result)
+		l.limit.observe(now, t.started, result)
 	}
 	l.free(t)
 	l.startQueued(now)
@@ -126,6 +127,9 @@
 // slot is free at once: the caller has passed the cancellation on.
 func (l *Limiter) Cancel(t *Ticket, now time.Time) Changes {
 	l.begin(now)
+	if t.limiter != l {
+		return l.changes()
+	}
 	switch t.state {
 	case ticketQueued:
 		l.unqueue(t)
--- a/admission/ticket.go
+++ b/admission/ticket.go
@@ -23,7 +23,9 @@
 	// Value is the caller's own.
 	Value any
 
-	state   ticketState
+	state ticketState
+	// limiter is the one that the ticket was offered to last.
+	limiter *Limiter
 	offered time.Time
 	started time.Time
 	flow    *flow
