Fall back on ejected backend servers, and tell what the last one said

Cause: TestDrainingBackend failed once with 2,203 refusals "no backend" while one of two backend servers drained. A retry that found no other server hid what the one tried before had said, and an ejected server was not used although no other was left. TestPlatformOutage failed as a node restarted without the platform had no seeds in its settings. Ruled out: the directory, which listed both servers rightly on every node. Now an ejected server is better than none, a retry without another server returns the earlier refusal, and a site's nodes have each other as seeds.

--- a/node/control.go
+++ b/node/control.go
@@ -8,6 +8,8 @@
 
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
+
+	"auburngap/route"
 )
 
 // Status is what a node tells operators of itself.
@@ -61,6 +63,8 @@
 		c.ready(ctx)
 	case "/status":
 		c.writeJSON(ctx, c.node.Status())
+	case "/targets":
+		c.writeJSON(ctx, c.node.targets())
 	case "/report":
 		c.writeJSON(ctx, c.node.recorder.Snapshot(time.Now()))
 	default:
@@ -104,3 +108,14 @@
 	}
 	return status
 }
+
+// targets returns the backend servers that this node may call, by service.
+func (n *Node) targets() map[string][]route.Target {
+	targets := make(map[string][]route.Target)
+	if index := n.bundles.Index(); index != nil {
+		for _, service := range n.calledServices(index) {
+			targets[service] = n.directory.Targets(service)
+		}
+	}
+	return targets
+}
--- a/node/router.go
+++ b/node/router.go
@@ -32,6 +32,7 @@
 	budget := retry.NewBudget(call.Context.RetryBudget)
 	picker := r.routes.of(call.Service)
 	var tried *route.Choice
+	var last *request.Refusal
 	callsBelow := 0
 	reroutes := 0
 	for number := 1; ; number++ {
@@ -42,6 +43,12 @@
 			return r.withBudget(answer, budget, lent), nil
 		}
 		refusal := request.AsRefusal(err)
+		if choice == nil && last != nil {
+			// No other server is left: what the one tried before said stands.
+			last.Report.UnspentRetries = budget.Left() + lent
+			return nil, last
+		}
+		last = refusal
 		budget.Return(lent, refusal.Report.UnspentRetries)
 		callsBelow = max(callsBelow, refusal.Report.CallsBelow)
 		if reroutes < maxReroutes && mayReroute(ctx, call, refusal) {
--- a/route/picker.go
+++ b/route/picker.go
@@ -117,8 +117,12 @@
 }
 
 // PickOther is Pick for a retry: it avoids the server that was tried before.
+// An ejected server is better than none.
 func (p *Picker) PickOther(now time.Time, rng *rand.Rand, tried Choice) (Choice, bool) {
 	chosen := p.choose(now, rng, tried.server)
+	if chosen == nil {
+		chosen = p.ejected(now, tried.server)
+	}
 	if chosen == nil {
 		return Choice{}, false
 	}
@@ -142,6 +146,22 @@
 	return remote
 }
 
+// ejected returns the ejected server that comes back first; nil where there is none.
+func (p *Picker) ejected(now time.Time, avoid *server) *server {
+	var first *server
+	for _, g := range []group{p.local, p.remote} {
+		for _, s := range g.servers {
+			if s == avoid || s.leaving(now) || !now.Before(s.ejectedUntil) {
+				continue
+			}
+			if first == nil || s.ejectedUntil.Before(first.ejectedUntil) {
+				first = s
+			}
+		}
+	}
+	return first
+}
+
 // Observe takes in the signal that came with an answer: the calls in flight
 // and the concurrency limit, as counted by the node beside the server.
 func (p *Picker) Observe(now time.Time, choice Choice, inFlight, limit int) {
--- a/route/server.go
+++ b/route/server.go
@@ -49,10 +49,12 @@
 
 // available tells whether the server may get new work.
 func (s *server) available(now time.Time) bool {
-	if s.target.Draining || now.Before(s.drainingUntil) {
-		return false
-	}
-	return !now.Before(s.ejectedUntil)
+	return !s.leaving(now) && !now.Before(s.ejectedUntil)
+}
+
+// leaving tells whether the server is draining, by the directory's word or its own.
+func (s *server) leaving(now time.Time) bool {
+	return s.target.Draining || now.Before(s.drainingUntil)
 }
 
 // utilization estimates the part of the server's slots in use, were it to get
--- a/site/site.go
+++ b/site/site.go
@@ -88,6 +88,10 @@
 			return nil, err
 		}
 	}
+	if err := s.writeSettings(); err != nil {
+		s.Close()
+		return nil, err
+	}
 	for _, vm := range config.VMs {
 		if err := s.StartNode(ctx, vm.Name); err != nil {
 			s.Close()
@@ -111,7 +115,7 @@
 	return nil
 }
 
-// prepare chooses the addresses of a node and writes its settings.
+// prepare chooses the addresses of a node.
 func (s *Site) prepare(vm VM) error {
 	node := s.config.Base
 	if len(node.Operators) == 0 {
@@ -133,14 +137,26 @@
 	if s.config.Adjust != nil {
 		s.config.Adjust(&node)
 	}
-	data, err := json.MarshalIndent(node, "", "  ")
-	if err != nil {
-		return ErrStart.Wrap(err, "encode settings")
+	s.nodes[vm.Name] = &Node{Settings: node}
+	return nil
+}
+
+// writeSettings writes all nodes' settings; each has all the others as seeds.
+func (s *Site) writeSettings() error {
+	var seeds []netip.AddrPort
+	for _, vm := range s.config.VMs {
+		seeds = append(seeds, s.nodes[vm.Name].Settings.PeerAddress)
 	}
-	if err := os.WriteFile(s.settingsPath(vm.Name), data, 0o600); err != nil {
-		return ErrStart.Wrap(err, "write settings")
+	for name, node := range s.nodes {
+		node.Settings.Seeds = seeds
+		data, err := json.MarshalIndent(node.Settings, "", "  ")
+		if err != nil {
+			return ErrStart.Wrap(err, "encode settings")
+		}
+		if err := os.WriteFile(s.settingsPath(name), data, 0o600); err != nil {
+			return ErrStart.Wrap(err, "write settings")
+		}
 	}
-	s.nodes[vm.Name] = &Node{Settings: node}
 	return nil
 }
 
