--- /dev/null
+++ b/app/commands.go
@@ -0,0 +1,67 @@
+package app
+
+import (
+	"context"
+	"io"
+
+	"github.com/alexflint/go-arg"
+
+	"auburngap/operator"
+	"auburngap/platform/fake"
+)
+
+// commandLine is every command with its arguments.
+type commandLine struct {
+	operator.Commands
+	Node         *nodeCommand        `arg:"subcommand:node" help:"run the node beside a backend server"`
+	Settings     *settingsCommand    `arg:"subcommand:settings" help:"check a node's settings"`
+	Load         *loadCommand        `arg:"subcommand:load" help:"send an open-loop load to a node on this machine"`
+	PlatformFake *fake.Command       `arg:"subcommand:platform-fake" help:"run a stand-in of the platform's key-value service, for tests"`
+	BackendFake  *backendFakeCommand `arg:"subcommand:backend-fake" help:"run a fake backend server, for tests"`
+}
+
+// Description implements arg.Described.
+func (commandLine) Description() string { return textDescription }
+
+// Epilogue implements arg.Epilogued.
+func (commandLine) Epilogue() string { return textEpilogue }
+
+// Version implements arg.Versioned.
+func (commandLine) Version() string { return version }
+
+func (c *commandLine) run(ctx context.Context, parser *arg.Parser, stdout, stderr io.Writer) int {
+	if handled, err := c.Commands.Run(ctx, operator.Environment{Stdout: stdout}); handled {
+		if err != nil {
+			printLine(stderr, "auburngap: "+err.Error())
+		}
+		return operator.ExitCode(err)
+	}
+	switch {
+	case c.Node != nil:
+		return c.Node.run(ctx, stderr)
+	case c.Settings != nil:
+		return c.Settings.run(stdout, stderr)
+	case c.Load != nil:
+		return exitOf(stderr, c.Load.run(ctx, stdout))
+	case c.PlatformFake != nil:
+		return exitOf(stderr, c.PlatformFake.Run(ctx, stdout))
+	case c.BackendFake != nil:
+		return exitOf(stderr, c.BackendFake.run(ctx))
+	}
+	if handled, err := c.Commands.Run(ctx, operator.Environment{Stdout: stdout}); handled {
+		if err != nil {
+			printLine(stderr, "auburngap: "+err.Error())
+		}
+		return operator.ExitCode(err)
+	}
+	parser.WriteHelp(stderr)
+	return ExitUsage
+}
+
+// exitOf returns the exit code of a command that ended with err.
+func exitOf(stderr io.Writer, err error) int {
+	if err != nil {
+		return fail(stderr, err)
+	}
+	return ExitOK
+}
--- /dev/null
+++ b/bundle/follower_test.go
@@ -0,0 +1,171 @@
+package bundle_test
+
+import (
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"auburngap/bundle"
+	"auburngap/directory"
+	"auburngap/platform/fake"
+)
+
+var (
+	_ directory.BundleSink   = (*bundle.Follower)(nil)
+	_ directory.BundleSource = (*bundle.Follower)(nil)
+)
+
+func newFollower(d *desk) *bundle.Follower {
+	return bundle.NewFollower(bundle.FollowerConfig{Client: d.service, Roots: rootTrust()})
+}
+
+func TestFollowerPassesProofsOn(t *testing.T) {
+	d, _ := history(t, 15) // with changes of operators
+	relay, node := newFollower(d), newFollower(d)
+	version, proof, err := relay.Head(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, version, uint64(15))
+	assert.NilError(t, node.Verify(version, proof))
+	assert.Equal(t, node.Highest(), uint64(0))
+	node.Offer(version, proof)
+	assert.Equal(t, node.Highest(), version)
+	assert.Assert(t, node.Verify(version+1, proof) != nil)
+
+	d.accept(testBundle(t))
+	version, proof, err = relay.Next(t.Context(), version)
+	assert.NilError(t, err)
+	node.Offer(version, proof)
+	assert.Equal(t, node.Highest(), uint64(16))
+}
+
+// TestFollowerRefusesForks: withdrawn operators cannot lead a node elsewhere,
+// though their own chain of sign-offs starts at the same roots.
+func TestFollowerRefusesForks(t *testing.T) {
+	d, fork := newDesk(t), newDesk(t)
+	d.accept(testBundle(t))
+	reduced := testBundle(t)
+	reduced.Operators = reduced.Operators[:2]
+	d.accept(reduced)
+	for range 3 {
+		fork.accept(testBundle(t))
+	}
+	var refused error
+	node := bundle.NewFollower(bundle.FollowerConfig{
+		Client: d.service, Roots: rootTrust(),
+		OnRefused: func(_ uint64, err error) { refused = err },
+	})
+	version, proof, err := newFollower(d).Head(t.Context())
+	assert.NilError(t, err)
+	node.Offer(version, proof)
+	version, proof, err = newFollower(fork).Head(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, version, uint64(3))
+	node.Offer(version, proof)
+	assertType(t, refused, bundle.ErrForged)
+	assert.Equal(t, node.Highest(), uint64(2))
+}
+
+func TestFollowerCallsPlatformOnceWhereNothingChanged(t *testing.T) {
+	d, _ := history(t, 3)
+	relay := newFollower(d)
+	_, _, err := relay.Head(t.Context())
+	assert.NilError(t, err)
+	before := d.service.Counts()
+	_, _, err = relay.Head(t.Context())
+	assert.NilError(t, err)
+	before.Get++
+	assert.DeepEqual(t, d.service.Counts(), before)
+	d.service.SetFaults(fake.Faults{Down: true})
+	_, _, err = relay.Head(t.Context())
+	assert.Assert(t, err != nil)
+}
+
+// TestOnForceHearsVersionsInOrder offers many versions at once.
+func TestOnForceHearsVersionsInOrder(t *testing.T) {
+	d := newDesk(t)
+	relay := newFollower(d)
+	proofs := make(map[uint64][]byte)
+	for range 10 {
+		d.accept(testBundle(t))
+		version, proof, err := relay.Head(t.Context())
+		assert.NilError(t, err)
+		proofs[version] = proof
+	}
+	for range 20 {
+		highest := uint64(0) // only OnForce touches it
+		node := bundle.NewFollower(bundle.FollowerConfig{Roots: rootTrust(), OnForce: func(index *bundle.Index) {
+			assert.Check(t, index.Bundle.Version > highest)
+			highest = index.Bundle.Version
+		}})
+		var group sync.WaitGroup
+		for version, proof := range proofs {
+			group.Go(func() { node.Offer(version, proof) })
+		}
+		group.Wait()
+		assert.Equal(t, highest, uint64(10))
+	}
+}
+
+// TestProofSince: nodes that lag a little get the changes alone.
+func TestProofSince(t *testing.T) {
+	d := newDesk(t)
+	d.accept(testBundle(t))
+	relay := newFollower(d)
+	nodes := []*bundle.Follower{newFollower(d)} // the first holds nothing
+	pass := func(to *bundle.Follower) int {
+		version, proof, err := relay.ProofSince(to.Highest())
+		assert.NilError(t, err)
+		to.Offer(version, proof)
+		assert.Equal(t, to.Highest(), relay.Highest())
+		return len(proof)
+	}
+	for i := range 8 {
+		b := testBundle(t)
+		b.Workspaces[0].Rate = float64(i + 1)
+		if i > 4 {
+			b.Operators = b.Operators[:2]
+		}
+		d.accept(b)
+		version, whole, err := relay.Head(t.Context())
+		assert.NilError(t, err)
+		relay.Offer(version, whole)
+		node := newFollower(d)
+		node.Offer(version, whole)
+		nodes = append(nodes, node)
+	}
+	first := pass(nodes[0])
+	for _, node := range nodes[1:8] {
+		size := pass(node)
+		assert.Assert(t, size < first, "%d bytes, the whole has %d", size, first)
+	}
+	version, proof, err := relay.ProofSince(relay.Highest())
+	assert.NilError(t, err)
+	assert.Equal(t, version, uint64(0))
+	assert.Equal(t, len(proof), 0)
+}
+
+// FuzzVerify offers bytes that a peer may send: none but the signed version
+// may ever come into force.
+func FuzzVerify(f *testing.F) {
+	service := fake.New(fake.Config{})
+	store := bundle.NewStore(bundle.StoreConfig{Client: service})
+	_, err := store.Publish(f.Context(), bundle.ProposeRequest{Bundle: testBundle(f)}, signerOf("ndapewa"), signerOf("tuyeni"))
+	assert.NilError(f, err)
+	config := bundle.FollowerConfig{Client: service, Roots: rootTrust()}
+	_, proof, err := bundle.NewFollower(config).Head(f.Context())
+	assert.NilError(f, err)
+	f.Add(uint64(1), proof)
+	f.Add(uint64(2), proof)
+	f.Add(uint64(1), []byte(`[{"header":{"version":1},"delta":{"changed":{"site":null}}}]`))
+	f.Add(uint64(1), []byte{0x1f, 0x8b, 8})
+	f.Fuzz(func(t *testing.T, version uint64, proof []byte) {
+		node := bundle.NewFollower(config)
+		verified := node.Verify(version, proof) == nil
+		node.Offer(version, proof)
+		assert.Equal(t, verified, node.Highest() != 0)
+		if verified {
+			assert.Equal(t, len(node.Index().Bundle.Workspaces), 8)
+		}
+	})
+}
--- /dev/null
+++ b/e2e/e2e_test.go
@@ -0,0 +1,314 @@
+// Package e2e runs whole sites as separate processes.
+package e2e
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+
+	_ "auburngap/app" // so that a change of the program runs these tests again
+	"auburngap/backend/fake"
+	"auburngap/bundle"
+	"auburngap/platform"
+	"auburngap/settings"
+	"auburngap/site"
+)
+
+// binary is the program under test, built once.
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(runAll(m))
+}
+
+func runAll(m *testing.M) int {
+	directory, err := os.MkdirTemp("", "auburngap")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(directory)
+	binary = filepath.Join(directory, "auburngap")
+	build := exec.Command("go", "build", "-o", binary, "auburngap")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		panic(err)
+	}
+	return m.Run()
+}
+
+const (
+	schoolKey = "school-key-0123456789"
+	parishKey = "parish-key-0123456789"
+
+	operatorName = "rosalia"
+)
+
+// world is a site with its fake backend servers.
+type world struct {
+	t        *testing.T
+	ctx      context.Context
+	site     *site.Site
+	bundle   bundle.Bundle
+	client   *fasthttp.Client
+	operator ed25519.PrivateKey
+	// replicas is the number of VMs of each service.
+	replicas int
+	servers  map[string]*fake.Server
+	platform platform.Client
+	// addresses are those of the fake backend servers.
+	addresses map[string]netip.AddrPort
+
+	mu sync.Mutex
+	// onRequest is told of each request at any backend server; it may be nil.
+	onRequest func(ctx *fasthttp.RequestCtx)
+}
+
+func (w *world) observe(ctx *fasthttp.RequestCtx) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.onRequest != nil {
+		w.onRequest(ctx)
+	}
+}
+
+// watch sets what is told of each request at any backend server.
+func (w *world) watch(onRequest func(ctx *fasthttp.RequestCtx)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.onRequest = onRequest
+}
+
+// chain is a call graph five deep with a fan-out of three at its third hop.
+var chain = []bundle.Service{
+	{Name: "a", Calls: []string{"b"}, Slots: 16, Connections: 64},
+	{Name: "b", Calls: []string{"c"}, Slots: 16, Connections: 64},
+	{Name: "c", Calls: []string{"d", "e", "f"}, Slots: 16, Connections: 64},
+	{Name: "d", Calls: []string{"g"}, Slots: 16, Connections: 64},
+	{Name: "e", Slots: 16, Connections: 64},
+	{Name: "f", Slots: 16, Connections: 64},
+	{Name: "g", Slots: 16, Connections: 64},
+}
+
+func chainBundle() bundle.Bundle {
+	timeout := bundle.Duration(5 * time.Second)
+	return bundle.Bundle{
+		Zones:    []bundle.Zone{{Name: "palermo", Shards: 1}, {Name: "catania", Shards: 1}},
+		Services: chain,
+		Workspaces: []bundle.Workspace{
+			{Name: "school", Rate: 1000, Burst: 1000, Weight: 1, Keys: []bundle.Key{{ID: "s1", Hash: bundle.HashKey([]byte(schoolKey))}}},
+			{Name: "parish", Rate: 1000, Burst: 1000, Weight: 1, Keys: []bundle.Key{{ID: "p1", Hash: bundle.HashKey([]byte(parishKey))}}},
+		},
+		Routes: []bundle.Route{
+			{Name: "chain", Prefix: "/chain", Service: "a", Timeout: timeout, RetryBudget: 4},
+			{Name: "single", Prefix: "/single", Service: "g", Timeout: timeout, RetryBudget: 2},
+			{Name: "school-only", Prefix: "/school", Service: "g", Workspaces: []string{"school"}, Timeout: timeout},
+			{Name: "open", Prefix: "/open", Service: "g", Open: true, Timeout: timeout},
+		},
+	}
+}
+
+// newWorld starts a site with one VM for each service.
+func newWorld(t *testing.T, b bundle.Bundle) *world {
+	t.Helper()
+	return newReplicatedWorld(t, b, 1)
+}
+
+// newReplicatedWorld starts a node and a backend server for each replica of
+// each service, the availability zones in turn, and waits until the whole path
+// serves.
+func newReplicatedWorld(t *testing.T, b bundle.Bundle, replicas int) *world {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	w := &world{
+		t: t, ctx: ctx, bundle: b, replicas: replicas,
+		client:    &fasthttp.Client{ReadTimeout: 20 * time.Second, MaxConnsPerHost: 4096},
+		servers:   make(map[string]*fake.Server),
+		addresses: make(map[string]netip.AddrPort),
+	}
+	key, operators := newOperator(t)
+	w.operator = key
+	var vms []site.VM
+	for _, vm := range w.vms() {
+		vms = append(vms, site.VM{Name: vm.name, Zone: b.Zones[len(vms)%len(b.Zones)].Name})
+	}
+	s, err := site.Start(ctx, site.Config{Binary: binary, Directory: t.TempDir(), VMs: vms, Operators: operators})
+	assert.NilError(t, err)
+	t.Cleanup(s.Close)
+	w.site = s
+	w.platform = platform.NewHTTPClient(platform.HTTPConfig{Address: s.Platform})
+	w.publish(b)
+	for _, vm := range w.vms() {
+		w.startServer(vm)
+	}
+	w.waitUntilServing()
+	return w
+}
+
+// testVM is one VM of a world.
+type testVM struct {
+	name    string
+	service bundle.Service
+}
+
+// vms lists the VMs, replica after replica.
+func (w *world) vms() []testVM {
+	var vms []testVM
+	for replica := range w.replicas {
+		for _, service := range w.bundle.Services {
+			vms = append(vms, testVM{name: vmName(service.Name, replica), service: service})
+		}
+	}
+	return vms
+}
+
+func vmName(service string, replica int) string {
+	return fmt.Sprintf("vm-%s-%d", service, replica)
+}
+
+// publish proposes, signs and rolls out a bundle.
+func (w *world) publish(b bundle.Bundle) uint64 {
+	w.t.Helper()
+	return publish(w.t, w.platform, w.operator, b)
+}
+
+func publish(t *testing.T, client platform.Client, key ed25519.PrivateKey, b bundle.Bundle) uint64 {
+	t.Helper()
+	b.SignOffs = 1
+	b.Operators = []bundle.Operator{{Name: operatorName, PublicKey: publicText(key)}}
+	store := bundle.NewStore(bundle.StoreConfig{Client: client})
+	proposal, err := store.Propose(t.Context(), bundle.ProposeRequest{Bundle: &b, Author: operatorName})
+	assert.NilError(t, err)
+	_, err = store.Approve(t.Context(), proposal.ID(), bundle.Signer{Name: operatorName, Key: key})
+	assert.NilError(t, err)
+	record, err := store.Rollout(t.Context(), proposal.ID())
+	assert.NilError(t, err)
+	return record.Header.Version
+}
+
+// newOperator returns an operator's key and the settings that trust it.
+func newOperator(t *testing.T) (ed25519.PrivateKey, []settings.Operator) {
+	t.Helper()
+	_, key, err := ed25519.GenerateKey(nil)
+	assert.NilError(t, err)
+	return key, []settings.Operator{{Name: operatorName, PublicKey: publicText(key)}}
+}
+
+func publicText(key ed25519.PrivateKey) string {
+	return base64.StdEncoding.EncodeToString(key.Public().(ed25519.PublicKey))
+}
+
+func (w *world) startServer(vm testVM) {
+	w.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(w.t, err)
+	server := fake.New(fake.Config{
+		Service:     vm.service.Name,
+		Node:        w.site.Node(vm.name).Settings.BackendAddress,
+		Slots:       vm.service.Slots,
+		Connections: vm.service.Connections,
+		Calls:       vm.service.Calls,
+		Parallel:    true,
+		Observe:     w.observe,
+	})
+	w.servers[vm.name] = server
+	w.addresses[vm.name] = netip.MustParseAddrPort(listener.Addr().String())
+	go func() { _ = server.Run(w.ctx, listener) }()
+}
+
+// node returns the node of a service's first replica.
+func (w *world) node(service string) *site.Node {
+	return w.site.Node(vmName(service, 0))
+}
+
+// server returns the backend server of a service's first replica.
+func (w *world) server(service string) *fake.Server {
+	return w.servers[vmName(service, 0)]
+}
+
+// runs sums the runs of an idempotency key over all backend servers.
+func (w *world) runs(key string) int {
+	sum := 0
+	for _, server := range w.servers {
+		sum += server.Runs(key)
+	}
+	return sum
+}
+
+// waitUntilServing waits until every node serves the first route.
+func (w *world) waitUntilServing() {
+	w.t.Helper()
+	for _, vm := range w.vms() {
+		w.waitUntilNodeServes(vm.name)
+	}
+}
+
+func (w *world) waitUntilNodeServes(vm string) {
+	w.t.Helper()
+	address := w.site.Node(vm).Settings.CallerAddress
+	w.waitFor("node of "+vm+" serves", func() bool {
+		return w.send(address, "GET", w.bundle.Routes[0].Prefix, schoolKey, "").status == 200
+	})
+}
+
+func (w *world) waitFor(what string, done func() bool) {
+	w.t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for !done() {
+		if time.Now().After(deadline) {
+			w.t.Fatalf("not reached in time: %s", what)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// reply is what a caller sees.
+type reply struct {
+	status  int
+	body    string
+	outcome string
+	cause   string
+	id      string
+}
+
+func (w *world) get(service, path, key string) reply {
+	return w.send(w.node(service).Settings.CallerAddress, "GET", path, key, "")
+}
+
+func (w *world) send(address netip.AddrPort, method, path, key, body string, headers ...string) reply {
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI(fmt.Sprintf("http://%s%s", address, path))
+	request.Header.SetMethod(method)
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	request.SetBodyString(body)
+	if err := w.client.Do(request, response); err != nil {
+		return reply{cause: err.Error()}
+	}
+	return reply{
+		status:  response.StatusCode(),
+		body:    string(response.Body()),
+		outcome: string(response.Header.Peek("Auburngap-Outcome")),
+		cause:   string(response.Header.Peek("Auburngap-Cause")),
+		id:      string(response.Header.Peek("Auburngap-Request-Id")),
+	}
+}
--- /dev/null
+++ b/node/announcements.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"sync/atomic"
+	"time"
+
+	"auburngap/backend"
+)
+
+// announcementTTL is how long an announcement counts: three heartbeats and a margin.
+const announcementTTL = 3500 * time.Millisecond
+
+// announcements holds the last announcement of this VM's backend server.
+type announcements struct {
+	last atomic.Pointer[received]
+	// changed is signalled when an announcement differs in more than its load.
+	changed chan struct{}
+}
+
+func newAnnouncements() *announcements {
+	return &announcements{changed: make(chan struct{}, 1)}
+}
+
+type received struct {
+	announcement backend.Announcement
+	at           time.Time
+}
+
+// Set takes an announcement.
+func (a *announcements) Set(announcement backend.Announcement) {
+	before := a.last.Swap(&received{announcement: announcement, at: time.Now()})
+	if before != nil {
+		announcement.Load = before.announcement.Load
+	}
+	if before != nil && before.announcement == announcement {
+		return
+	}
+	select {
+	case a.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Current returns the last announcement; false where it is too old or there is none.
+func (a *announcements) Current() (backend.Announcement, bool) {
+	last := a.last.Load()
+	if last == nil || time.Since(last.at) > announcementTTL {
+		return backend.Announcement{}, false
+	}
+	return last.announcement, true
+}
--- /dev/null
+++ b/node/control.go
@@ -0,0 +1,121 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"auburngap/route"
+)
+
+// Status is what a node tells operators of itself.
+type Status struct {
+	VM            string `json:"vm"`
+	Zone          string `json:"zone"`
+	Incarnation   string `json:"incarnation"`
+	BundleVersion uint64 `json:"bundleVersion"`
+	Service       string `json:"service"`
+	Draining      bool   `json:"draining"`
+	LiveCalls     int    `json:"liveCalls"`
+	// BundleVersions are those in force at the nodes that are heard here, by VM,
+	// where the node is a relay.
+	BundleVersions map[string]uint64 `json:"bundleVersions,omitempty"`
+}
+
+// controlServer answers operators over HTTP.
+type controlServer struct {
+	node *Node
+	http *fasthttp.Server
+}
+
+func newControlServer(n *Node) *controlServer {
+	c := &controlServer{node: n}
+	c.http = &fasthttp.Server{
+		Handler:               c.handle,
+		Name:                  "auburngap",
+		NoDefaultServerHeader: true,
+		ReduceMemoryUsage:     true,
+		CloseOnShutdown:       true,
+		Logger:                zap.NewStdLog(n.logger.Named("control")),
+	}
+	return c
+}
+
+// Serve answers until Shutdown.
+func (c *controlServer) Serve(listener net.Listener) error {
+	return c.http.Serve(listener)
+}
+
+// Shutdown ends Serve.
+func (c *controlServer) Shutdown(ctx context.Context) error {
+	return c.http.ShutdownWithContext(ctx)
+}
+
+func (c *controlServer) handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/healthz":
+		ctx.SetBodyString("ok\n")
+	case "/readyz":
+		c.ready(ctx)
+	case "/status":
+		c.writeJSON(ctx, c.node.Status())
+	case "/targets":
+		c.writeJSON(ctx, c.node.targets())
+	case "/report":
+		c.writeJSON(ctx, c.node.recorder.Snapshot(time.Now()))
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+func (c *controlServer) ready(ctx *fasthttp.RequestCtx) {
+	if c.node.local.leaving.Load() || !c.node.local.isReady() {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.SetBodyString("not ready\n")
+		return
+	}
+	ctx.SetBodyString("ready\n")
+}
+
+func (c *controlServer) writeJSON(ctx *fasthttp.RequestCtx, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(data, '\n'))
+}
+
+// Status returns what the node tells operators of itself.
+func (n *Node) Status() Status {
+	announced, ok := n.announced.Current()
+	status := Status{
+		VM:             n.identity.VM,
+		Zone:           n.identity.Zone,
+		Incarnation:    n.identity.Incarnation.String(),
+		Service:        announced.Service,
+		Draining:       !ok || announced.Draining,
+		LiveCalls:      n.tokens.Live(),
+		BundleVersions: n.directory.BundleVersions(),
+	}
+	if index := n.bundles.Index(); index != nil {
+		status.BundleVersion = index.Bundle.Version
+	}
+	return status
+}
+
+// targets returns the backend servers that this node may call, by service.
+func (n *Node) targets() map[string][]route.Target {
+	targets := make(map[string][]route.Target)
+	if index := n.bundles.Index(); index != nil {
+		for _, service := range n.calledServices(index) {
+			targets[service] = n.directory.Targets(service)
+		}
+	}
+	return targets
+}
