Run commitments at most once: ask the key's home, fence the dispatch, replay

The entry node asks the owner of the key's home shard before it dispatches; the permission travels with the call and the node beside the backend server checks it just before the backend server gets the first byte; the answer is kept and given to repeats.

Shown red first: with the owner's records, but without waiting for the time in which another layout might still be in force, every payment of a fresh site was "unknown" (48,777 of 48,931 tries); that is the protocol's word for the first 13 s after a site's first start, and the tests wait for it.

--- /dev/null
+++ b/e2e/commitment_test.go
@@ -0,0 +1,193 @@
+package e2e
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"auburngap/bundle"
+)
+
+func payBundle() bundle.Bundle {
+	b := pairBundle()
+	b.Routes = append(b.Routes, bundle.Route{
+		Name: "pay", Methods: []string{"POST"}, Prefix: "/pay", Service: "g",
+		Commitment: true, Timeout: bundle.Duration(4 * time.Second), RetryBudget: 3,
+	})
+	return b
+}
+
+func mintKey() string {
+	return uuid.Must(uuid.NewV7()).String()
+}
+
+// waitUntilPaid waits until fresh keys are taken: after a site's first start the
+// owners cannot know yet that no key was used under another layout.
+func (w *world) waitUntilPaid() {
+	w.t.Helper()
+	for _, node := range w.callerAddresses("") {
+		taken := 0
+		w.waitFor("payments are taken", func() bool {
+			if w.pay(node, mintKey(), "one mug").status != 200 {
+				taken = 0
+				return false
+			}
+			taken++
+			return taken >= 8
+		})
+	}
+}
+
+// pay sends one payment through a node.
+func (w *world) pay(address netip.AddrPort, key, body string) reply {
+	return w.send(address, "POST", "/pay", schoolKey, body, "Idempotency-Key", key)
+}
+
+func TestCommitment(t *testing.T) {
+	w := newReplicatedWorld(t, payBundle(), 2)
+	nodes := w.callerAddresses("")
+	w.waitUntilPaid()
+
+	t.Run("a repeat through every node gets the first answer", func(t *testing.T) {
+		key := mintKey()
+		first := w.pay(nodes[0], key, "one mug")
+		assert.Equal(t, first.status, 200, first.cause)
+		for _, node := range nodes {
+			repeat := w.pay(node, key, "one mug")
+			assert.Equal(t, repeat.status, 200, repeat.cause)
+			assert.Equal(t, repeat.body, first.body)
+		}
+		assert.Equal(t, w.runs(key), 1)
+	})
+	t.Run("another request with the same key", func(t *testing.T) {
+		key := mintKey()
+		assert.Equal(t, w.pay(nodes[0], key, "one mug").status, 200)
+		assert.Assert(t, w.pay(nodes[1], key, "two mugs").status >= 400)
+		assert.Equal(t, w.runs(key), 1)
+	})
+	t.Run("many at once", func(t *testing.T) {
+		key := mintKey()
+		var group sync.WaitGroup
+		for i := range 32 {
+			group.Go(func() { w.pay(nodes[i%len(nodes)], key, "one mug") })
+		}
+		group.Wait()
+		assert.Equal(t, w.runs(key), 1)
+	})
+	t.Run("no key", func(t *testing.T) {
+		got := w.send(nodes[0], "POST", "/pay", schoolKey, "one mug")
+		assert.Equal(t, got.status, 400)
+		assert.Equal(t, got.cause, "idempotencyKey")
+		assert.Equal(t, got.outcome, "notRun")
+	})
+	t.Run("a key minted an hour ago", func(t *testing.T) {
+		old := uuid.MustParse(mintKey())
+		stamp := time.Now().Add(-time.Hour).UnixMilli()
+		for i := range 6 {
+			old[i] = byte(stamp >> (8 * (5 - i)))
+		}
+		got := w.pay(nodes[0], old.String(), "one mug")
+		assert.Assert(t, got.status >= 400)
+		assert.Equal(t, got.outcome, "unknown")
+		assert.Equal(t, w.runs(old.String()), 0)
+	})
+}
+
+// payer sends payments one after the other, each again through other nodes
+// until it is answered or found to be unknown.
+type payer struct {
+	w        *world
+	random   *rand.Rand
+	answered []string
+	unknown  []string
+	notRun   []string
+}
+
+const mostRepeats = 12
+
+func (p *payer) payOnce() {
+	key := mintKey()
+	last := ""
+	for range mostRepeats {
+		nodes := p.w.callerAddresses("")
+		got := p.w.pay(nodes[p.random.IntN(len(nodes))], key, "one mug")
+		if got.status == 200 {
+			p.answered = append(p.answered, key)
+			return
+		}
+		last = got.outcome
+		if got.cause == "outcomeUnknown" {
+			p.unknown = append(p.unknown, key)
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	// Only where every word was "not run" may the caller count on it.
+	if last == "notRun" {
+		p.notRun = append(p.notRun, key)
+		return
+	}
+	p.unknown = append(p.unknown, key)
+}
+
+// TestCommitmentsUnderFailures pays through all nodes while nodes are killed,
+// paused and restarted. No payment may run twice, none that was answered may
+// be missing.
+func TestCommitmentsUnderFailures(t *testing.T) {
+	w := newReplicatedWorld(t, payBundle(), 3)
+	w.waitUntilPaid()
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	payers := make([]*payer, 8)
+	for i := range payers {
+		payers[i] = &payer{w: w, random: rand.New(rand.NewPCG(uint64(i), 1))}
+		group.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(20 * time.Millisecond):
+					payers[i].payOnce()
+				}
+			}
+		})
+	}
+	for _, vm := range []string{vmName("a", 0), vmName("g", 0)} {
+		time.Sleep(time.Second)
+		w.site.Node(vm).Kill()
+		time.Sleep(time.Second)
+		assert.NilError(t, w.site.StartNode(w.ctx, vm))
+		time.Sleep(2 * time.Second)
+	}
+	for _, vm := range []string{vmName("a", 1), vmName("g", 1)} {
+		w.site.Node(vm).Pause()
+		time.Sleep(4 * time.Second)
+		w.site.Node(vm).Continue()
+		time.Sleep(time.Second)
+	}
+	close(stop)
+	group.Wait()
+
+	answered, unknown, notRun := 0, 0, 0
+	for _, p := range payers {
+		for _, key := range p.answered {
+			assert.Equal(t, w.runs(key), 1, "an answered payment")
+		}
+		for _, key := range p.unknown {
+			assert.Assert(t, w.runs(key) <= 1, "a payment of unknown outcome ran %d times", w.runs(key))
+		}
+		for _, key := range p.notRun {
+			assert.Equal(t, w.runs(key), 0, "a payment that was said not to have run")
+		}
+		answered += len(p.answered)
+		unknown += len(p.unknown)
+		notRun += len(p.notRun)
+	}
+	t.Logf("%d answered, %d unknown, %d not run", answered, unknown, notRun)
+	assert.Assert(t, answered > 500)
+}
--- a/node/local.go
+++ b/node/local.go
@@ -4,10 +4,12 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"auburngap/admission"
+	"auburngap/commitment"
 	"auburngap/request"
 )
 
@@ -16,6 +18,8 @@
 	next      request.Handler
 	announced *announcements
 	guard     *guard
+	fenceMu   sync.Mutex
+	fence     *commitment.Fence
 	// leaving is set when the node drains.
 	leaving atomic.Bool
 	// ready is closed once the node can serve the whole path.
@@ -35,6 +39,10 @@
 	if refusal != nil {
 		return nil, h.refuse(refusal, call)
 	}
+	if refusal := h.admitCommitment(call); refusal != nil {
+		h.guard.leave(place, admission.Result{Kind: admission.Failed})
+		return nil, h.refuse(refusal, call)
+	}
 	place.started = time.Now()
 	answer, err := h.next.Serve(ctx, call)
 	if err != nil {
@@ -45,6 +53,26 @@
 	return h.guarded(answer, place), nil
 }
 
+// admitCommitment checks a commitment's permission just before it runs.
+func (h *localHandler) admitCommitment(call *request.Call) *request.Refusal {
+	if !call.Commitment {
+		return nil
+	}
+	permission, err := commitment.PermissionFromProto(call.Permission)
+	if err != nil {
+		return request.RefuseUnsent(call, request.CauseIdempotencyKey, 0)
+	}
+	h.fenceMu.Lock()
+	defer h.fenceMu.Unlock()
+	switch h.fence.Admit(permission, time.Now()) {
+	case commitment.Admitted:
+		return nil
+	case commitment.Stale:
+		return request.RefuseUnsent(call, request.CauseShardUnavailable, 0)
+	}
+	return request.Refuse(request.CauseOutcomeUnknown, request.Unknown, 0)
+}
+
 // isReady tells whether the calls that the backend server makes can be served.
 func (h *localHandler) isReady() bool {
 	select {
--- a/node/node.go
+++ b/node/node.go
@@ -25,6 +25,7 @@
 	"auburngap/backend"
 	"auburngap/bundle"
 	"auburngap/caller"
+	"auburngap/commitment"
 	"auburngap/directory"
 	"auburngap/peer"
 	"auburngap/platform"
@@ -130,7 +131,12 @@
 		Logger:    n.logger,
 	})
 	n.backendClient = backend.NewClient(backend.ClientConfig{Tokens: n.tokens, Announced: n.announced.Current})
-	n.local = &localHandler{next: n.backendClient, announced: n.announced, guard: newGuard(n.bundles.Index)}
+	n.local = &localHandler{
+		next:      n.backendClient,
+		announced: n.announced,
+		guard:     newGuard(n.bundles.Index),
+		fence:     commitment.NewFence(commitment.Terms{}),
+	}
 	n.membership = &membership{directory: n.directory, announced: n.announced, local: n.local, onService: n.resubscribe}
 	gate := newGate()
 	router := &router{
@@ -152,7 +158,8 @@
 	})
 	n.readiness = newReadiness(n)
 	n.local.ready = n.readiness.done
-	entry := &entry{bundle: n.bundles.Index, rates: n.shards.rates, gate: gate, next: router}
+	commitments := &commitments{client: n.shards.commitments, next: router}
+	entry := &entry{bundle: n.bundles.Index, rates: n.shards.rates, gate: gate, next: commitments}
 	n.recorder = report.NewRecorder(report.Config{VM: s.VM, Zone: s.AvailabilityZone})
 	n.callers = caller.New(caller.Config{
 		Record:      n.record,
--- /dev/null
+++ b/node/shard_commitments.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/proto"
+
+	"auburngap/peer"
+	"auburngap/peer/peerpb"
+)
+
+// Begin implements commitment.Peers.
+func (s *shards) Begin(ctx context.Context, begin *peerpb.Begin) (*peerpb.BeginAnswer, error) {
+	vm, address, err := s.ownerOf(begin.GetAvailabilityZone(), int(begin.GetShard()))
+	if err != nil {
+		return nil, err
+	}
+	if vm == s.config.Self.VM {
+		return s.ledgers.HandleBegin(ctx, begin), nil
+	}
+	answer := &peerpb.BeginAnswer{}
+	if err := peer.Ask(ctx, s.config.Pool, address, peer.KindBegin, begin, answer); err != nil {
+		return nil, err
+	}
+	return answer, nil
+}
+
+// Finish implements commitment.Peers.
+func (s *shards) Finish(ctx context.Context, finish *peerpb.Finish) (*peerpb.FinishAnswer, error) {
+	permission := finish.GetPermission()
+	vm, address, err := s.ownerOf(permission.GetAvailabilityZone(), int(permission.GetShard()))
+	if err != nil {
+		return nil, err
+	}
+	if vm == s.config.Self.VM {
+		return s.ledgers.HandleFinish(ctx, finish), nil
+	}
+	answer := &peerpb.FinishAnswer{}
+	if err := peer.Ask(ctx, s.config.Pool, address, peer.KindFinish, finish, answer); err != nil {
+		return nil, err
+	}
+	return answer, nil
+}
+
+func (s *shards) onBegin(ctx context.Context, _ peer.Identity, payload []byte) (proto.Message, error) {
+	var begin peerpb.Begin
+	if err := peer.Decode(payload, &begin); err != nil {
+		return nil, err
+	}
+	return s.ledgers.HandleBegin(ctx, &begin), nil
+}
+
+func (s *shards) onFinish(ctx context.Context, _ peer.Identity, payload []byte) (proto.Message, error) {
+	var finish peerpb.Finish
+	if err := peer.Decode(payload, &finish); err != nil {
+		return nil, err
+	}
+	return s.ledgers.HandleFinish(ctx, &finish), nil
+}
--- a/node/shard_owner.go
+++ b/node/shard_owner.go
@@ -24,6 +24,7 @@
 		state = &peerpb.ShardState{}
 	}
 	s.bank.Gained(index, epoch, state.GetShare())
+	s.ledgers.Gained(index, epoch, state.GetLedger())
 }
 
 // take returns what is kept of a shard, or its running state where it was not lost.
@@ -37,7 +38,7 @@
 
 // end ends the ownership of a shard here and returns its state.
 func (s *shards) end(index int) *peerpb.ShardState {
-	return &peerpb.ShardState{Share: s.bank.Lost(index)}
+	return &peerpb.ShardState{Share: s.bank.Lost(index), Ledger: s.ledgers.Lost(index)}
 }
 
 // Lost implements shard.Owner.
--- a/node/shards.go
+++ b/node/shards.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"auburngap/bundle"
+	"auburngap/commitment"
 	"auburngap/directory"
 	"auburngap/peer"
 	"auburngap/peer/peerpb"
@@ -41,12 +42,15 @@
 }
 
 // shards runs this VM's part in the ownership of its zone's shards, and what
-// rests on it: the tokens of the workspaces' rates.
+// rests on it: the tokens of the workspaces' rates and the memory of commitments.
 type shards struct {
 	config shardsConfig
 	keeper atomic.Pointer[shard.Keeper]
 	rates  *share.Client
 	bank   *share.Owner
+	// commitments asks the owners of keys' home shards; ledgers is this VM's part.
+	commitments *commitment.Client
+	ledgers     *commitment.Owner
 
 	mu sync.Mutex
 	// kept holds the state of shards that were lost, until they are handed on
@@ -58,6 +62,15 @@
 	s := &shards{config: config, kept: make(map[int]*peerpb.ShardState)}
 	s.rates = share.NewClient(share.ClientConfig{Zone: config.Self.Zone, Peers: s, Clock: bootTime})
 	s.bank = share.NewOwner(share.OwnerConfig{Zone: config.Self.Zone, Gate: s, Peers: s, Clock: bootTime})
+	s.commitments = commitment.NewClient(commitment.ClientConfig{Peers: s})
+	s.ledgers = commitment.NewOwner(commitment.OwnerConfig{
+		Zone:  config.Self.Zone,
+		Gate:  s,
+		Clock: bootTime,
+		Now:   time.Now,
+		Store: func(home commitment.Home) commitment.Store { return commitment.NewPlatformStore(config.Platform, home) },
+		Log:   config.Logger,
+	})
 	return s
 }
 
@@ -69,6 +82,8 @@
 // Handle registers the messages between owners, witnesses and borrowers.
 func (s *shards) Handle(server *peer.Server) {
 	server.Handle(peer.KindDraw, s.onDraw)
+	server.Handle(peer.KindBegin, s.onBegin)
+	server.Handle(peer.KindFinish, s.onFinish)
 	server.Handle(peer.KindConfirm, s.onConfirm)
 	server.Handle(peer.KindHandover, s.onHandover)
 }
@@ -77,6 +92,8 @@
 func (s *shards) Apply(index *bundle.Index) {
 	s.rates.Apply(index)
 	s.bank.Apply(index)
+	s.commitments.Apply(index)
+	s.ledgers.Apply(index)
 }
 
 // Run keeps shards from the first bundle on, until the context ends.
--- a/peer/call_client.go
+++ b/peer/call_client.go
@@ -126,14 +126,11 @@
 		return nil, err
 	}
 	e.body.frames = e.frames
-	return &request.Answer{
-		Status:   int(message.GetStatus()),
-		Headers:  headersFromMessage(message.GetHeaders()),
-		Body:     e,
-		BodySize: message.GetBodySize(),
-		Trailers: e.body.trailers,
-		Report:   e.body.report,
-	}, nil
+	answer := AnswerFromMessage(&message)
+	answer.Body = e
+	answer.Trailers = e.body.trailers
+	answer.Report = e.body.report
+	return answer, nil
 }
 
 // Read implements io.Reader for the answer's body.
@@ -175,6 +172,7 @@
 		Commitment:     call.Commitment,
 		Idempotent:     call.Idempotent,
 		IdempotencyKey: call.IdempotencyKey,
+		Permission:     call.Permission,
 	}
 }
 
--- a/peer/call_server.go
+++ b/peer/call_server.go
@@ -53,6 +53,7 @@
 		Commitment:     m.GetCommitment(),
 		Idempotent:     m.GetIdempotent(),
 		IdempotencyKey: m.GetIdempotencyKey(),
+		Permission:     m.GetPermission(),
 	}
 }
 
@@ -83,12 +84,7 @@
 // sendAnswer sends head, body and end; where the body breaks off, the end says so.
 func sendAnswer(w *FrameWriter, answer *request.Answer) (err error) {
 	defer func() { err = errors.Join(err, answer.Body.Close()) }()
-	head := &peerpb.Answer{
-		Status:   uint32(answer.Status),
-		Headers:  headersToMessage(answer.Headers),
-		BodySize: answer.BodySize,
-	}
-	if err := w.Add(KindAnswer, head); err != nil {
+	if err := w.Add(KindAnswer, AnswerToMessage(answer)); err != nil {
 		return err
 	}
 	end := &peerpb.End{}
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -123,3 +123,21 @@
 	}
 	return refusal
 }
+
+// AnswerToMessage returns the head of an answer as a message.
+func AnswerToMessage(answer *request.Answer) *peerpb.Answer {
+	return &peerpb.Answer{
+		Status:   uint32(answer.Status),
+		Headers:  headersToMessage(answer.Headers),
+		BodySize: answer.BodySize,
+	}
+}
+
+// AnswerFromMessage returns an answer without its body.
+func AnswerFromMessage(m *peerpb.Answer) *request.Answer {
+	return &request.Answer{
+		Status:   int(m.GetStatus()),
+		Headers:  headersFromMessage(m.GetHeaders()),
+		BodySize: m.GetBodySize(),
+	}
+}
--- a/request/call.go
+++ b/request/call.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"time"
+
+	"auburngap/peer/peerpb"
 )
 
 // Header is one HTTP header or trailer line.
@@ -34,6 +36,8 @@
 	Idempotent bool
 	// IdempotencyKey is set on commitments.
 	IdempotencyKey []byte
+	// Permission allows a commitment to run once, in the peers' encoding.
+	Permission *peerpb.Permission
 }
 
 // Answer is a backend server's answer to a Call. Its receiver closes Body.
