--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -233,11 +233,6 @@
 	return w.site.Node(vmName(service, 0))
 }
 
-// server returns the backend server of a service's first replica.
-func (w *world) server(service string) *fake.Server {
-	return w.servers[vmName(service, 0)]
-}
-
 // runs sums the runs of an idempotency key over all backend servers.
 func (w *world) runs(key string) int {
 	sum := 0
@@ -283,10 +278,6 @@
 	id      string
 }
 
-func (w *world) get(service, path, key string) reply {
-	return w.send(w.node(service).Settings.CallerAddress, "GET", path, key, "")
-}
-
 func (w *world) send(address netip.AddrPort, method, path, key, body string, headers ...string) reply {
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
--- a/node/control.go
+++ b/node/control.go
@@ -63,6 +63,8 @@
 		c.ready(ctx)
 	case "/status":
 		c.writeJSON(ctx, c.node.Status())
+	case "/metrics":
+		c.node.metrics.Handler(ctx)
 	case "/targets":
 		c.writeJSON(ctx, c.node.targets())
 	case "/report":
--- /dev/null
+++ b/node/counters.go
@@ -0,0 +1,61 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"auburngap/report"
+	"auburngap/request"
+)
+
+// gaugeInterval is the time between two readings of the gauges.
+const gaugeInterval = time.Second
+
+// counters are what a node counts on the request path.
+type counters struct {
+	// requests counts customer requests by what refused them; CauseNone are
+	// those that a backend server answered.
+	requests   [request.Causes]tally.Counter
+	latency    tally.Histogram
+	violations tally.Counter
+
+	inFlight, limit, liveCalls, bundleVersion tally.Gauge
+}
+
+// latencyBuckets are the bounds of the latency histogram.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(500*time.Microsecond, 2, 16)
+
+func newCounters(scope tally.Scope) *counters {
+	c := &counters{
+		latency:       scope.Histogram("request_latency", latencyBuckets),
+		violations:    scope.Counter("invariant_violations"),
+		inFlight:      scope.Gauge("in_flight"),
+		limit:         scope.Gauge("concurrency_limit"),
+		liveCalls:     scope.Gauge("live_calls"),
+		bundleVersion: scope.Gauge("bundle_version"),
+	}
+	for cause := range request.Causes {
+		c.requests[cause] = scope.Tagged(map[string]string{"cause": cause.String()}).Counter("requests")
+	}
+	return c
+}
+
+// request counts a customer request.
+func (c *counters) request(sample report.Sample) {
+	c.requests[sample.Cause].Inc(1)
+	c.latency.RecordDuration(sample.Latency)
+}
+
+// gaugeUntil reads the gauges until the context ends.
+func (n *Node) gaugeUntil(ctx context.Context) error {
+	for pause(ctx, gaugeInterval) {
+		load := n.local.guard.load(false)
+		n.counters.inFlight.Update(float64(load.InFlight))
+		n.counters.limit.Update(float64(load.Limit))
+		n.counters.liveCalls.Update(float64(n.tokens.Live()))
+		n.counters.bundleVersion.Update(float64(n.bundles.Highest()))
+	}
+	return nil
+}
--- a/node/node.go
+++ b/node/node.go
@@ -27,6 +27,7 @@
 	"auburngap/caller"
 	"auburngap/commitment"
 	"auburngap/directory"
+	"auburngap/metrics"
 	"auburngap/peer"
 	"auburngap/platform"
 	"auburngap/report"
@@ -75,6 +76,8 @@
 	peers         *peer.Server
 	control       *controlServer
 	recorder      *report.Recorder
+	metrics       *metrics.Metrics
+	counters      *counters
 	readiness     *readiness
 }
 
@@ -106,6 +109,8 @@
 	if err != nil {
 		return ErrStart.Wrap(err, "peerTls")
 	}
+	n.metrics = metrics.New(metrics.Config{VM: s.VM, Zone: s.AvailabilityZone})
+	n.counters = newCounters(n.metrics.Scope)
 	n.bundles = bundle.NewFollower(bundle.FollowerConfig{
 		Client:    n.config.Platform,
 		Roots:     rootsOf(s),
@@ -155,6 +160,8 @@
 		Directory: n.directory,
 		Bundle:    n.bundles.Index,
 		Logger:    n.logger,
+		Metrics:   n.metrics.Scope,
+		Violated:  n.violated,
 	})
 	n.readiness = newReadiness(n)
 	n.local.ready = n.readiness.done
@@ -207,6 +214,12 @@
 	return roots
 }
 
+// violated notes an invariant that does not hold.
+func (n *Node) violated(invariant string) {
+	n.counters.violations.Inc(1)
+	n.logger.Error("node: invariant violated", zap.String("invariant", invariant))
+}
+
 // resubscribe subscribes again after the backend server's service has changed.
 func (n *Node) resubscribe() {
 	if index := n.bundles.Index(); index != nil {
@@ -263,6 +276,7 @@
 	group.Go(func() error { return n.directory.Run(serving) })
 	group.Go(func() error { return n.shards.Run(serving, n.firstBundle) })
 	group.Go(func() error { return n.membership.Run(serving) })
+	group.Go(func() error { return n.gaugeUntil(serving) })
 	group.Go(func() error {
 		<-ctx.Done()
 		n.drain()
@@ -300,6 +314,9 @@
 	n.shutdown(ctx, "control", n.control.Shutdown)
 	n.pool.Close()
 	n.backendClient.Close()
+	if err := n.metrics.Close(); err != nil {
+		n.logger.Warn("node: metrics did not close", zap.Error(err))
+	}
 	n.logger.Info("node: drained")
 }
 
--- a/node/record.go
+++ b/node/record.go
@@ -25,4 +25,5 @@
 		counted.WithinRate = sample.Refusal.Cause != request.CauseRate
 	}
 	n.recorder.Record(counted, time.Now())
+	n.counters.request(counted)
 }
--- a/node/shards.go
+++ b/node/shards.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
@@ -39,6 +40,9 @@
 	Directory *directory.Directory
 	Bundle    func() *bundle.Index
 	Logger    *zap.Logger
+	Metrics   tally.Scope
+	// Violated is told the name of an invariant that does not hold.
+	Violated func(invariant string)
 }
 
 // shards runs this VM's part in the ownership of its zone's shards, and what
@@ -121,6 +125,8 @@
 		Clock:       shard.BootClock{},
 		Incarnation: s.config.Self.Incarnation.String(),
 		Logger:      s.config.Logger,
+		Metrics:     s.config.Metrics,
+		Violated:    s.config.Violated,
 	})
 	if err != nil {
 		return err
--- a/request/outcome.go
+++ b/request/outcome.go
@@ -59,7 +59,8 @@
 	CauseDraining
 	CauseCancelled
 	CauseShardUnavailable
-	causeCount
+	// Causes is the number of causes.
+	Causes
 )
 
 type causeInfo struct {
@@ -68,7 +69,7 @@
 }
 
 // causes gives each cause its word in headers and its HTTP status.
-var causes = [causeCount]causeInfo{
+var causes = [Causes]causeInfo{
 	CauseNone:                {"none", http.StatusOK},
 	CauseBadRequest:          {"badRequest", http.StatusBadRequest},
 	CauseNoKey:               {"noKey", http.StatusUnauthorized},
@@ -95,7 +96,7 @@
 
 // String returns the word used in headers, logs and metrics.
 func (c Cause) String() string {
-	if c >= causeCount {
+	if c >= Causes {
 		return "none"
 	}
 	return causes[c].name
@@ -103,7 +104,7 @@
 
 // Status returns the HTTP status that answers a refusal of this cause.
 func (c Cause) Status() int {
-	if c >= causeCount {
+	if c >= Causes {
 		return http.StatusInternalServerError
 	}
 	return causes[c].status
