Let VMs without a lease hear of the table from others

Cause: the reads of VMs without a lease were spread by the number of VMs that Peers names; a node names its zone's relays alone, so at 2,700 VMs a zone the platform would have got 540 reads a second of each zone, and a read of each VM with each new table heard of. Such a VM now asks another VM every 20 s and reads the platform every 5 to 10 minutes, sooner while a place is vacant or nobody answers. Keeper.Refresh asks at once, for callers that find an owner gone.

The table also carries the witnesses' addresses: a VM that restarts in an outage knew only those of relays and owners.

--- a/shard/ask.go
+++ b/shard/ask.go
@@ -21,6 +21,8 @@
 	// often that was done.
 	nextGossip time.Duration
 	gossiped   int
+	// heardAt is when another VM last answered.
+	heardAt time.Duration
 	// known holds the version that each VM was last heard to know.
 	known map[string]uint64
 }
@@ -115,7 +117,7 @@
 	if !m.idle() || len(m.vms) == 0 || m.now < m.round.nextGossip {
 		return
 	}
-	m.round.nextGossip = m.now + m.cfg.Timing.IdleInterval
+	m.round.nextGossip = m.now + m.cfg.Timing.GossipInterval
 	m.round.gossiped++
 	vm := m.vms[(m.round.gossiped+rank(m.cfg.VM, 0, m.view.candidates))%len(m.vms)]
 	if vm != m.cfg.VM {
@@ -148,7 +150,12 @@
 	m.do(Reply{Answer: m.judge(e.Request)})
 }
 
+func (e Refresh) apply(m *Machine) {
+	m.round.nextGossip = min(m.round.nextGossip, m.now)
+}
+
 func (e Answered) apply(m *Machine) {
+	m.round.heardAt = m.now
 	m.noteAnswer(e.From, e.Answer)
 	if e.Answer.Table != nil {
 		m.learn(*e.Answer.Table, false, 0)
--- a/shard/driver.go
+++ b/shard/driver.go
@@ -200,5 +200,6 @@
 	if address, ok := k.addresses.Load(vm); ok {
 		return Peer{VM: vm, Address: address.(netip.AddrPort)}, true
 	}
-	return Peer{}, false
+	address, ok := k.machine.Table().Addresses[vm]
+	return Peer{VM: vm, Address: address}, ok
 }
--- a/shard/event.go
+++ b/shard/event.go
@@ -77,6 +77,9 @@
 	Err         error
 }
 
+// Refresh asks for a newer table: an owner was not where the table says.
+type Refresh struct{}
+
 // Shutdown begins a graceful shutdown.
 type Shutdown struct{}
 
--- a/shard/keeper.go
+++ b/shard/keeper.go
@@ -198,6 +198,15 @@
 	return len(value.(*Table).Shards)
 }
 
+// Refresh asks for a newer table soon, such as when an owner that OwnerOf has
+// named does not answer. It does not block.
+func (k *Keeper) Refresh() {
+	select {
+	case k.events <- queuedEvent{event: Refresh{}}:
+	default:
+	}
+}
+
 // Shutdown hands the VM's shards over with their state and returns once Run
 // has ended or the context has.
 func (k *Keeper) Shutdown(ctx context.Context) error {
--- a/shard/machine.go
+++ b/shard/machine.go
@@ -11,7 +11,7 @@
 )
 
 // idleReaders is the number of VMs without a lease that read the platform once
-// in an IdleInterval between them.
+// in an IdleInterval between them, where no other VM answers.
 const idleReaders = 10
 
 // Config describes the VM whose shards a Machine decides on.
@@ -69,7 +69,8 @@
 	candidates map[string]Candidate
 	readDone   bool
 	reading    bool
-	nextRead   time.Duration
+	// lastRead is when the last read was sent; nextRead forces one earlier than is usual.
+	lastRead, nextRead time.Duration
 	// vacant means that a VM more could hold a lease; this one may from joinAt on.
 	vacant, mayJoin bool
 	joinAt          time.Duration
@@ -96,8 +97,8 @@
 		witness: newWitness(file.Chart("witness"), cfg.Timing, cfg.faults, now),
 		lease:   lease{chart: file.Chart("lease"), state: file.Chart("lease").Initial, until: never},
 		contact: contact{last: never},
-		view:    view{table: NewTable(cfg.Shards), missing: map[string]time.Duration{}},
-		round:   round{known: map[string]uint64{}, releases: map[string]bool{}},
+		view:    view{table: NewTable(cfg.Shards), missing: map[string]time.Duration{}, lastRead: never, nextRead: forever},
+		round:   round{known: map[string]uint64{}, releases: map[string]bool{}, heardAt: never},
 		now:     now,
 	}
 	m.slots = make([]slot, cfg.Shards)
@@ -135,21 +136,46 @@
 func (e Tick) apply(m *Machine) {
 	m.vms = e.VMs
 	m.gossip()
-	if m.view.reading || m.now < m.view.nextRead {
+	v := &m.view
+	due := m.now >= v.nextRead || v.lastRead == never || m.now-v.lastRead >= m.readInterval()
+	if v.reading || !due {
 		return
 	}
-	m.view.reading = true
-	m.view.nextRead = m.now + m.readInterval()
+	v.reading = true
+	v.lastRead, v.nextRead = m.now, forever
 	m.do(Read{})
 }
 
 // readInterval keeps the platform's reads independent of the number of VMs:
-// those that hold no lease share a constant rate.
+// those that hold no lease hear of the table from others.
 func (m *Machine) readInterval() time.Duration {
+	t := &m.cfg.Timing
 	if !m.idle() {
-		return m.cfg.Timing.Interval
+		return t.Interval
 	}
-	return m.cfg.Timing.IdleInterval * time.Duration(1+len(m.vms)/idleReaders)
+	if m.round.heardAt == never || m.now-m.round.heardAt > 3*t.GossipInterval {
+		return t.IdleInterval * time.Duration(1+len(m.vms)/idleReaders)
+	}
+	if m.tableShowsVacancy() {
+		return m.ownPart(t.VacancyInterval)
+	}
+	return m.ownPart(t.HeardInterval)
+}
+
+// ownPart returns between a half and the whole of d, different for each VM.
+func (m *Machine) ownPart(d time.Duration) time.Duration {
+	return d/2 + time.Duration(score(m.cfg.VM, seatShard)%uint64(d/2))
+}
+
+// tableShowsVacancy tells whether fewer VMs serve as witnesses than may hold leases.
+func (m *Machine) tableShowsVacancy() bool {
+	witnesses := map[string]bool{}
+	for i := range m.view.table.Shards {
+		for _, vm := range m.view.table.Shards[i].Witnesses {
+			witnesses[vm] = true
+		}
+	}
+	return len(witnesses) < m.cfg.MaxCandidates
 }
 
 // idle tells whether the VM neither holds nor wants a lease.
@@ -199,7 +225,9 @@
 	newer := t.Version > old.Version
 	if newer && !synced {
 		m.view.synced = false
-		m.view.nextRead = m.now
+		if !m.idle() {
+			m.view.nextRead = m.now
+		}
 	}
 	if synced {
 		m.view.revision, m.view.synced = revision, true
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -30,10 +31,32 @@
 	if p.bump {
 		p.draft.Version++
 	}
+	p.draft.Addresses = m.addresses(&p.draft)
 	p.writing = true
 	m.do(Write{Table: p.draft, IfRevision: m.view.revision})
 }
 
+// addresses returns those of all witnesses that a table names, as far as known.
+func (m *Machine) addresses(t *Table) map[string]netip.AddrPort {
+	found := map[string]netip.AddrPort{}
+	for i := range t.Shards {
+		for _, set := range append([][]string{t.Shards[i].Witnesses}, t.Shards[i].Unreleased...) {
+			m.findAddresses(set, found)
+		}
+	}
+	return found
+}
+
+func (m *Machine) findAddresses(vms []string, found map[string]netip.AddrPort) {
+	for _, vm := range vms {
+		if candidate, ok := m.view.candidates[vm]; ok {
+			found[vm] = candidate.Address
+		} else if address, ok := m.view.table.Addresses[vm]; ok {
+			found[vm] = address
+		}
+	}
+}
+
 // mayWrite tells whether the machine knows the platform's table and holds a
 // lease that its entries can name.
 func (m *Machine) mayWrite() bool {
--- a/shard/table.go
+++ b/shard/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -24,6 +25,9 @@
 	// Version grows by one with each change of an owner or of witnesses.
 	Version uint64  `json:"version"`
 	Shards  []Entry `json:"shards"`
+	// Addresses are those of the witnesses, for a VM that restarts while the
+	// platform is out of reach.
+	Addresses map[string]netip.AddrPort `json:"addresses,omitempty"`
 }
 
 // Entry is what a table says of one shard.
@@ -67,7 +71,7 @@
 
 // Clone returns a deep copy.
 func (t Table) Clone() Table {
-	copied := Table{Version: t.Version, Shards: slices.Clone(t.Shards)}
+	copied := Table{Version: t.Version, Shards: slices.Clone(t.Shards), Addresses: maps.Clone(t.Addresses)}
 	for i := range copied.Shards {
 		e := &copied.Shards[i]
 		e.Witnesses = slices.Clone(e.Witnesses)
--- a/shard/timing.go
+++ b/shard/timing.go
@@ -18,6 +18,13 @@
 	Interval time.Duration
 	// IdleInterval lies between two reads of a VM that holds no lease.
 	IdleInterval time.Duration
+	// GossipInterval lies between two questions for the table of a VM that
+	// holds no lease.
+	GossipInterval time.Duration
+	// HeardInterval and VacancyInterval lie between two reads of a VM without
+	// lease that hears of the table from others, the second while fewer VMs
+	// than may hold leases are witnesses.
+	HeardInterval, VacancyInterval time.Duration
 	// AskInterval lies between two rounds of questions to witnesses.
 	AskInterval time.Duration
 	// Term is how long a witness's confirmation lasts.
@@ -43,18 +50,21 @@
 // DefaultTiming returns the durations of production.
 func DefaultTiming() Timing {
 	return Timing{
-		Lease:        3 * time.Second,
-		Interval:     time.Second,
-		IdleInterval: 5 * time.Second,
-		AskInterval:  500 * time.Millisecond,
-		Term:         3 * time.Second,
-		Horizon:      time.Hour,
-		Unreachable:  1500 * time.Millisecond,
-		Steady:       2 * time.Second,
-		JoinSpread:   1500 * time.Millisecond,
-		TakeStep:     500 * time.Millisecond,
-		WitnessGrace: 30 * time.Second,
-		Leave:        3 * time.Second,
+		Lease:           3 * time.Second,
+		Interval:        time.Second,
+		IdleInterval:    5 * time.Second,
+		GossipInterval:  20 * time.Second,
+		HeardInterval:   10 * time.Minute,
+		VacancyInterval: time.Minute,
+		AskInterval:     500 * time.Millisecond,
+		Term:            3 * time.Second,
+		Horizon:         time.Hour,
+		Unreachable:     1500 * time.Millisecond,
+		Steady:          2 * time.Second,
+		JoinSpread:      1500 * time.Millisecond,
+		TakeStep:        500 * time.Millisecond,
+		WitnessGrace:    30 * time.Second,
+		Leave:           3 * time.Second,
 	}
 }
 
--- a/shard/witness.go
+++ b/shard/witness.go
@@ -9,6 +9,9 @@
 // never is before every reading of the clock.
 const never = time.Duration(-1 << 62)
 
+// forever is after every reading of the clock.
+const forever = time.Duration(1 << 62)
+
 // witness is a VM's memory of what it has promised to owners and takers.
 type witness struct {
 	chart  *charts.Chart
