--- a/share/bank.go
+++ b/share/bank.go
@@ -21,6 +21,9 @@
 	Shard int
 	// Epoch is the one at which the shard was gained.
 	Epoch uint64
+	// FirstSequence begins the numbers of loans. It must be beyond those of any
+	// predecessor at the same epoch, such as a former process in the same slot.
+	FirstSequence uint64
 	// GainedAt is the clock's reading when the shard was gained.
 	GainedAt time.Duration
 	Terms    Terms
@@ -42,7 +45,7 @@
 // NewBank returns a bank without accounts; Apply opens them.
 func NewBank(config BankConfig) *Bank {
 	config.Terms = config.Terms.withDefaults()
-	return &Bank{config: config, accounts: make(map[string]*account)}
+	return &Bank{config: config, accounts: make(map[string]*account), sequence: config.FirstSequence}
 }
 
 // Apply puts a bundle into force: it opens and closes accounts and changes
--- a/share/owner.go
+++ b/share/owner.go
@@ -88,7 +88,7 @@
 	now := o.config.Clock()
 	bank := NewBank(BankConfig{
 		Zone: o.config.Zone, Shard: shard, Epoch: epoch, GainedAt: now,
-		Terms: o.config.Terms, State: state,
+		Terms: o.config.Terms, State: state, FirstSequence: uint64(time.Now().UnixNano()),
 	})
 	if o.index != nil {
 		bank.Apply(o.index, now)
--- a/share/unit_test.go
+++ b/share/unit_test.go
@@ -90,3 +90,23 @@
 	assert.Equal(t, second.Available(testWorkspace, start), 90.0)
 	assert.Equal(t, second.Held(testWorkspace, start), 90.0)
 }
+
+// A process restarted in its slot may own the shard at the same epoch; reports
+// on its predecessor's loans must not settle its own.
+func TestRestartAtOneEpochKeepsLoansApart(t *testing.T) {
+	index := testIndex(1, 10, 100, nil)
+	draw := Draw{ID: 1, Zone: "zone0", Borrower: "zone0", Workspace: testWorkspace, Need: 10, Whole: true}
+	var loans []LoanID
+	for process := range uint64(2) {
+		bank := NewBank(BankConfig{Zone: "zone0", Epoch: 1, FirstSequence: process * 1000})
+		bank.Apply(index, 0)
+		grant, ok := bank.Draw(draw, 10*time.Second)
+		assert.Assert(t, ok && grant.Tokens == 10)
+		for _, former := range loans {
+			bank.Report(testWorkspace, []Report{{Loan: former, Spent: 0, Closed: true}}, 10*time.Second)
+		}
+		a := bank.accounts[testWorkspace]
+		assert.Equal(t, a.lent, 10.0)
+		loans = append(loans, grant.Loan)
+	}
+}
