--- a/bundle/follower_test.go
+++ b/bundle/follower_test.go
@@ -1,6 +1,7 @@
 package bundle_test
 
 import (
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -80,6 +81,32 @@
 	assert.Assert(t, err != nil)
 }
 
+// TestOnForceHearsVersionsInOrder offers many versions at once.
+func TestOnForceHearsVersionsInOrder(t *testing.T) {
+	d := newDesk(t)
+	relay := newFollower(d)
+	proofs := make(map[uint64][]byte)
+	for range 10 {
+		d.accept(testBundle(t))
+		version, proof, err := relay.Head(t.Context())
+		assert.NilError(t, err)
+		proofs[version] = proof
+	}
+	for range 20 {
+		highest := uint64(0) // only OnForce touches it
+		node := bundle.NewFollower(bundle.FollowerConfig{Roots: rootTrust(), OnForce: func(index *bundle.Index) {
+			assert.Check(t, index.Bundle.Version > highest)
+			highest = index.Bundle.Version
+		}})
+		var group sync.WaitGroup
+		for version, proof := range proofs {
+			group.Go(func() { node.Offer(version, proof) })
+		}
+		group.Wait()
+		assert.Equal(t, highest, uint64(10))
+	}
+}
+
 // TestProofSince: nodes that lag a little get the changes alone.
 func TestProofSince(t *testing.T) {
 	d := newDesk(t)
@@ -117,3 +144,28 @@
 	assert.Equal(t, version, uint64(0))
 	assert.Equal(t, len(proof), 0)
 }
+
+// FuzzVerify offers bytes that a peer may send: none but the signed version
+// may ever come into force.
+func FuzzVerify(f *testing.F) {
+	service := fake.New(fake.Config{})
+	store := bundle.NewStore(bundle.StoreConfig{Client: service})
+	_, err := store.Publish(f.Context(), bundle.ProposeRequest{Bundle: testBundle(f)}, signerOf("ndapewa"), signerOf("tuyeni"))
+	assert.NilError(f, err)
+	config := bundle.FollowerConfig{Client: service, Roots: rootTrust()}
+	_, proof, err := bundle.NewFollower(config).Head(f.Context())
+	assert.NilError(f, err)
+	f.Add(uint64(1), proof)
+	f.Add(uint64(2), proof)
+	f.Add(uint64(1), []byte(`[{"header":{"version":1},"delta":{"changed":{"site":null}}}]`))
+	f.Add(uint64(1), []byte{0x1f, 0x8b, 8})
+	f.Fuzz(func(t *testing.T, version uint64, proof []byte) {
+		node := bundle.NewFollower(config)
+		verified := node.Verify(version, proof) == nil
+		node.Offer(version, proof)
+		assert.Equal(t, verified, node.Highest() != 0)
+		if verified {
+			assert.Equal(t, len(node.Index().Bundle.Workspaces), 8)
+		}
+	})
+}
--- a/operator/texts.go
+++ b/operator/texts.go
@@ -66,9 +66,10 @@
   auburngap bundle show > bundle.json
   auburngap bundle diff bundle.json
   auburngap bundle propose --author tuyeni --note "more for the dailies" bundle.json
+  auburngap bundle status
+  auburngap bundle diff --proposal ID
   auburngap bundle approve --key tuyeni.key ID
   auburngap bundle rollout ID
-  auburngap bundle status
   auburngap bundle history --count 20
 
 The platform's address may stand in AUBURNGAP_PLATFORM.`,
@@ -84,7 +85,7 @@
   auburngap status
   auburngap status --node 10.0.0.5:8083 --node 10.0.1.5:8083 --json`,
 	"report": `Examples:
-  auburngap report --node 10.0.0.5:8083 --window 5m
+  auburngap report --node 10.0.0.5:8083 --window 1m --window 5m
   auburngap report --file snapshot.json --format html --out report.html`,
 }
 
--- a/shard/machine.go
+++ b/shard/machine.go
@@ -36,6 +36,7 @@
 type faults struct {
 	clockAfter, noWait, noRelease, earlyRelease, noBind  bool
 	restartConfirms, restartReleases, lateStop, noMargin bool
+	forgetWitnesses                                      bool
 }
 
 // Machine decides for one VM: the owner's and taker's side, and the witness's.
@@ -69,6 +70,9 @@
 	readDone   bool
 	reading    bool
 	nextRead   time.Duration
+	// vacant means that a VM more could hold a lease; this one may from joinAt on.
+	vacant, mayJoin bool
+	joinAt          time.Duration
 	// missing holds since when a witness has had no lease.
 	missing map[string]time.Duration
 }
@@ -161,6 +165,7 @@
 	m.view.candidates = e.Candidates
 	m.view.readDone = true
 	m.lease.see(m, e.Candidates[m.cfg.VM], e.SentAt)
+	m.noteVacancy(e.SentAt)
 	m.noteMissing()
 	m.learn(e.Table, true, e.Revision)
 	m.witness.read(e.Table.Version, e.SentAt)
