--- a/admission/levels.go
+++ b/admission/levels.go
@@ -12,9 +12,6 @@
 	levelWindow = 100 * time.Millisecond
 	// levelMemory is the time over which rates are averaged.
 	levelMemory = 500 * time.Millisecond
-	// rateMargin is the admitted rate as a part of the capacity: a little more
-	// than one, so that no slot stands idle; the queue sheds the rest in order.
-	rateMargin = 1.1
 	// readableShare is the least admitted share that demand is inferred from.
 	readableShare = 1.0 / 1024
 	// spareOccupancy is the part of the slots in use below which there is room
@@ -29,7 +26,9 @@
 // can serve, by Little's law from its limit and how long calls hold a slot,
 // filled with the priorities' demand from the most important down.
 type levels struct {
-	level uint16
+	// margin is the admitted rate as a part of the capacity.
+	margin float64
+	level  uint16
 	// averages hold the recent past, a window each.
 	averages levelCounts
 	// share is the average admitted share, in step with averages.arrivals.
@@ -49,8 +48,8 @@
 	held float64
 }
 
-func newLevels() levels {
-	l := levels{level: FullLevel}
+func newLevels(margin float64) levels {
+	l := levels{level: FullLevel, margin: margin}
 	for priority := range l.share {
 		l.share[priority] = 1
 	}
@@ -100,7 +99,7 @@
 		return
 	}
 	capacity := float64(limit) * levelWindow.Seconds() * a.departures / a.held
-	l.level = l.fill(rateMargin * capacity)
+	l.level = l.fill(l.margin * capacity)
 }
 
 // fill returns the level at which the demand adds up to the rate.
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -6,6 +6,9 @@
 	"auburngap/request"
 )
 
+// DefaultMargin is the default of Config.Margin.
+const DefaultMargin = 1.1
+
 // Config makes a Limiter. Zero fields take the defaults named.
 type Config struct {
 	// Slots is what the backend server announces, the ceiling of the limit.
@@ -16,6 +19,10 @@
 	MaxSojourn time.Duration
 	// QueueShare is the length of the queue as a part of the limit; 1.
 	QueueShare float64
+	// Margin is the rate that the admission level lets in as a part of what the
+	// server can serve; 1.1. The queue sheds the rest in order: more keeps the
+	// slots fuller, less wastes less work of the services before.
+	Margin float64
 	// Fixed keeps the limit at the announced slots.
 	Fixed bool
 }
@@ -30,6 +37,9 @@
 	if c.MaxSojourn <= 0 {
 		c.MaxSojourn = 50 * time.Millisecond
 	}
+	if c.Margin <= 0 {
+		c.Margin = DefaultMargin
+	}
 	if c.QueueShare <= 0 {
 		c.QueueShare = 1
 	}
@@ -51,7 +61,7 @@
 // New returns a limiter with an empty queue.
 func New(config Config) *Limiter {
 	config = config.withDefaults()
-	l := &Limiter{config: config, queue: newQueue(), shares: newFairShare(), levels: newLevels()}
+	l := &Limiter{config: config, queue: newQueue(), shares: newFairShare(), levels: newLevels(config.Margin)}
 	l.limit.floor = 1
 	l.Announce(config.Slots)
 	l.limit.current = l.limit.ceiling
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -26,15 +26,16 @@
 )
 
 type options struct {
-	Site      string `arg:"--site" help:"mugWorks or styleDesk; both if empty"`
-	Scenarios string `arg:"--scenarios" help:"letters, such as a,c; all if empty"`
-	Policies  string `arg:"--policies" help:"none, fixed, previous, full; all if empty"`
-	Off       string `arg:"--off" help:"mechanisms that the previous version lacks: gate, fair, budget, cancel, adaptive"`
-	Runs      int    `arg:"--runs" default:"5" help:"seeded runs of each"`
-	Seed      uint64 `arg:"--seed" default:"1" help:"seed of the first run"`
-	Parallel  int    `arg:"--parallel" default:"2" help:"runs at once"`
-	JSON      string `arg:"--json" help:"file for the figures of every run"`
-	Plot      string `arg:"--plot" help:"SVG or PNG file for goodput over time"`
+	Site      string  `arg:"--site" help:"mugWorks or styleDesk; both if empty"`
+	Scenarios string  `arg:"--scenarios" help:"letters, such as a,c; all if empty"`
+	Policies  string  `arg:"--policies" help:"none, fixed, previous, full; all if empty"`
+	Off       string  `arg:"--off" help:"mechanisms that the previous version lacks: gate, fair, budget, cancel, adaptive"`
+	Margin    float64 `arg:"--margin" help:"admitted rate as a part of a server's capacity; the site's own if zero"`
+	Runs      int     `arg:"--runs" default:"5" help:"seeded runs of each"`
+	Seed      uint64  `arg:"--seed" default:"1" help:"seed of the first run"`
+	Parallel  int     `arg:"--parallel" default:"2" help:"runs at once"`
+	JSON      string  `arg:"--json" help:"file for the figures of every run"`
+	Plot      string  `arg:"--plot" help:"SVG or PNG file for goodput over time"`
 }
 
 // Description is shown by --help.
@@ -120,6 +121,7 @@
 	for _, site := range []site{mugWorks(), styleDesk()} {
 		for _, scenario := range scenarios() {
 			for _, policy := range policies(opts.Off) {
+				policy.margin = opts.Margin
 				if !named(opts.Site, site.name) || !named(opts.Scenarios, scenario.name) || !named(opts.Policies, policy.name) {
 					continue
 				}
--- a/experiment/policy.go
+++ b/experiment/policy.go
@@ -15,6 +15,8 @@
 	budget bool
 	// hopRetries is the number of plain retries at each hop.
 	hopRetries int
+	// margin is the limiters' setting of that name.
+	margin float64
 	// cancel passes on cancellations.
 	cancel bool
 }
