--- a/app/node.go
+++ b/app/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"time"
 
@@ -42,15 +41,6 @@
 	return ExitOK
 }
 
-func failSettings(stderr io.Writer, err error) int {
-	var faults *settings.FaultsError
-	if errors.As(err, &faults) {
-		printLine(stderr, faults.Error())
-		return ExitUsage
-	}
-	return fail(stderr, err)
-}
-
 // newLogger returns a logger of JSON lines with the VM's name in each.
 func newLogger(s settings.Node, out io.Writer) (*zap.Logger, error) {
 	level, err := zapcore.ParseLevel(s.LogLevel)
@@ -62,24 +52,3 @@
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.Lock(zapcore.AddSync(out)), level)
 	return zap.New(core).With(zap.String("vm", s.VM)), nil
 }
-
-// settingsCommand is "auburngap settings ...".
-type settingsCommand struct {
-	Check *settingsCheckCommand `arg:"subcommand:check" help:"print every fault of a settings file"`
-}
-
-type settingsCheckCommand struct {
-	File string `arg:"positional,required" placeholder:"FILE"`
-}
-
-func (c *settingsCommand) run(stdout, stderr io.Writer) int {
-	if c.Check == nil {
-		printLine(stderr, textTryHelp)
-		return ExitUsage
-	}
-	if _, err := settings.Read(c.Check.File); err != nil {
-		return failSettings(stderr, err)
-	}
-	printLine(stdout, c.Check.File+": "+textNoFault)
-	return ExitOK
-}
