Remove two bundle settings that nothing followed

The two cases of their faults are replaced by two of admissionMargin, the one setting that stands for what the sites weigh differently. The experiment joins the command line, and the limiter follows the margin.

--- a/app/app.go
+++ b/app/app.go
@@ -16,6 +16,7 @@
 
 	"github.com/alexflint/go-arg"
 
+	"auburngap/experiment"
 	"auburngap/operator"
 )
 
@@ -28,8 +29,15 @@
 	ExitUsage = 2
 )
 
+// experimentName is the command that measures decisions under overload.
+const experimentName = "experiment"
+
 // Run executes one command line and returns the process's exit code.
 func Run(args []string, stdout, stderr io.Writer) int {
+	// The experiment has a command line of its own.
+	if len(args) > 0 && args[0] == experimentName {
+		return experiment.Run(args[1:], stdout, stderr)
+	}
 	var line commandLine
 	parser, err := arg.NewParser(arg.Config{Program: "auburngap", Out: stderr}, &line)
 	if err != nil {
--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -121,13 +121,8 @@
 
 // Policy holds the settings where sites weigh the measures differently.
 type Policy struct {
-	// Fairness chooses what to favour when goodput and the worst-served
-	// workspace pull apart: "goodput" (the default) or "worstServed".
-	Fairness string `json:"fairness,omitempty"`
 	// AdmissionMargin is the rate that entry nodes let in as a part of what a
 	// service can serve; zero takes the default of 1.1. More keeps short queues
 	// fuller; less wastes less work where calls are deep.
 	AdmissionMargin float64 `json:"admissionMargin,omitempty"`
-	// CommitmentWindow is how long answers of commitments are kept.
-	CommitmentWindow Duration `json:"commitmentWindow,omitempty"`
 }
--- a/bundle/check.go
+++ b/bundle/check.go
@@ -148,10 +148,6 @@
 }
 
 func (c *checker) policy() {
-	policy := c.bundle.Policy
-	allowed := []string{"", "goodput", "worstServed"}
-	c.must(slices.Contains(allowed, policy.Fairness), "policy.fairness", `%q is not "goodput" or "worstServed"`, policy.Fairness)
-	margin := policy.AdmissionMargin
+	margin := c.bundle.Policy.AdmissionMargin
 	c.must(margin == 0 || (margin >= 1 && margin <= 3), "policy.admissionMargin", "%g is not from 1 to 3", margin)
-	c.must(policy.CommitmentWindow >= 0, "policy.commitmentWindow", "a time is not below 0")
 }
--- a/bundle/parse_test.go
+++ b/bundle/parse_test.go
@@ -73,8 +73,8 @@
 		{"retry budget below zero", `"retryBudget": 4`, `"retryBudget": -4`},
 		{"idempotent commitment", `"commitment": true`, `"commitment": true, "idempotent": true`},
 		{"open commitment", `"commitment": true`, `"commitment": true, "open": true`},
-		{"no such fairness", `"worstServed"`, `"fair"`},
-		{"window below zero", `"24h"`, `"-24h"`},
+		{"margin below one", `"admissionMargin": 1.1`, `"admissionMargin": 0.9`},
+		{"margin too high", `"admissionMargin": 1.1`, `"admissionMargin": 3.1`},
 	}
 	source := string(readSite(t, "windhoek"))
 	var report strings.Builder
--- a/node/guard.go
+++ b/node/guard.go
@@ -92,6 +92,14 @@
 	return 1
 }
 
+// margin is what the bundle in force lets in beyond what a service can serve.
+func (g *guard) margin() float64 {
+	if index := g.bundle(); index != nil {
+		return index.Bundle.Policy.AdmissionMargin
+	}
+	return 0
+}
+
 func (g *guard) offer(p *place, service string, slots int) admission.Verdict {
 	now := time.Now()
 	g.mu.Lock()
@@ -105,7 +113,7 @@
 // announce takes in what the backend server announces of itself.
 func (g *guard) announce(service string, slots int) {
 	if g.limiter == nil || g.service != service {
-		g.limiter = admission.New(admission.Config{Slots: slots})
+		g.limiter = admission.New(admission.Config{Slots: slots, Margin: g.margin()})
 		g.service = service
 		g.slots = slots
 	}
--- a/operator/texts.go
+++ b/operator/texts.go
@@ -53,7 +53,7 @@
   ],
 
   // "goodput" or "worstServed": what to favour where they pull apart.
-  "policy": { "fairness": "goodput", "commitmentWindow": "24h" }
+  "policy": { "admissionMargin": 1.1 }
 }
 `
 )
