--- a/app/commands.go
+++ b/app/commands.go
@@ -15,6 +15,7 @@
 	operator.Commands
 	Node         *nodeCommand        `arg:"subcommand:node" help:"run the node beside a backend server"`
 	Settings     *settingsCommand    `arg:"subcommand:settings" help:"check a node's settings"`
+	TLS          *tlsCommand         `arg:"subcommand:tls" help:"make the keys of nodes"`
 	Load         *loadCommand        `arg:"subcommand:load" help:"send an open-loop load to a node on this machine"`
 	PlatformFake *fake.Command       `arg:"subcommand:platform-fake" help:"run a stand-in of the platform's key-value service, for tests"`
 	BackendFake  *backendFakeCommand `arg:"subcommand:backend-fake" help:"run a fake backend server, for tests"`
@@ -41,6 +42,8 @@
 		return c.Node.run(ctx, stderr)
 	case c.Settings != nil:
 		return c.Settings.run(stdout, stderr)
+	case c.TLS != nil:
+		return c.TLS.run(stdout, stderr)
 	case c.Load != nil:
 		return exitOf(stderr, c.Load.run(ctx, stdout))
 	case c.PlatformFake != nil:
--- a/app/text.go
+++ b/app/text.go
@@ -6,6 +6,8 @@
 
 	textDescription = "auburngap is an overload control layer for service call graphs."
 	textEpilogue    = `Examples:
+  auburngap tls authority --site windhoek > authority.json
+  auburngap tls node --authority authority.json    prints peerTls for a node's settings
   auburngap settings check node.json
   auburngap node --settings node.json
   auburngap bundle check bundle.json
--- a/caller/admit.go
+++ b/caller/admit.go
@@ -21,8 +21,9 @@
 func (s *Server) admit(ctx *fasthttp.RequestCtx, now time.Time) (*request.Call, *request.Refusal) {
 	call := &request.Call{}
 	index := s.config.Bundle()
-	if index == nil {
-		return call, request.Refuse(request.CauseStaleBundle, request.NotRun, time.Second)
+	if index == nil || (s.config.Ready != nil && !s.config.Ready()) {
+		ctx.SetConnectionClose()
+		return call, request.Refuse(request.CauseStarting, request.NotRun, time.Second)
 	}
 	route, ok := index.Match(string(ctx.Method()), string(ctx.Path()))
 	if !ok {
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -49,6 +49,8 @@
 type Config struct {
 	// Bundle returns the bundle in force, or nil before there is one.
 	Bundle func() *bundle.Index
+	// Ready tells whether the node can serve the whole path; nil is always.
+	Ready func() bool
 	// Stale tells whether a workspace refuses requests as the node has had no
 	// word of the bundle in force for too long.
 	Stale func(*bundle.Workspace) bool
--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -57,12 +57,15 @@
 
 // world is a site with its fake backend servers.
 type world struct {
-	t        *testing.T
-	ctx      context.Context
-	site     *site.Site
-	bundle   bundle.Bundle
-	client   *fasthttp.Client
-	operator ed25519.PrivateKey
+	t         *testing.T
+	ctx       context.Context
+	site      *site.Site
+	bundle    bundle.Bundle
+	client    *fasthttp.Client
+	operator  ed25519.PrivateKey
+	operators []settings.Operator
+	// adjust may change the settings of a node before it starts.
+	adjust func(*settings.Node)
 	// replicas is the number of VMs of each service.
 	replicas int
 	servers  map[string]*fake.Server
@@ -129,6 +132,15 @@
 // each service, the availability zones in turn, and waits until the whole path
 // serves.
 func newReplicatedWorld(t *testing.T, b bundle.Bundle, replicas int) *world {
+	t.Helper()
+	w := prepareWorld(t, b, replicas)
+	w.start()
+	w.waitUntilServing()
+	return w
+}
+
+// prepareWorld returns a world that has not started.
+func prepareWorld(t *testing.T, b bundle.Bundle, replicas int) *world {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
@@ -138,23 +150,27 @@
 		servers:   make(map[string]*fake.Server),
 		addresses: make(map[string]netip.AddrPort),
 	}
-	key, operators := newOperator(t)
-	w.operator = key
+	w.operator, w.operators = newOperator(t)
+	return w
+}
+
+// start starts the platform's stand-in, the nodes and the backend servers, and
+// rolls the bundle out.
+func (w *world) start() {
+	w.t.Helper()
 	var vms []site.VM
 	for _, vm := range w.vms() {
-		vms = append(vms, site.VM{Name: vm.name, Zone: b.Zones[len(vms)%len(b.Zones)].Name})
+		vms = append(vms, site.VM{Name: vm.name, Zone: w.bundle.Zones[len(vms)%len(w.bundle.Zones)].Name})
 	}
-	s, err := site.Start(ctx, site.Config{Binary: binary, Directory: t.TempDir(), VMs: vms, Operators: operators})
-	assert.NilError(t, err)
-	t.Cleanup(s.Close)
+	s, err := site.Start(w.ctx, site.Config{Binary: binary, Directory: w.t.TempDir(), VMs: vms, Operators: w.operators, Adjust: w.adjust})
+	assert.NilError(w.t, err)
+	w.t.Cleanup(s.Close)
 	w.site = s
 	w.platform = platform.NewHTTPClient(platform.HTTPConfig{Address: s.Platform})
-	w.publish(b)
+	w.publish(w.bundle)
 	for _, vm := range w.vms() {
 		w.startServer(vm)
 	}
-	w.waitUntilServing()
-	return w
 }
 
 // testVM is one VM of a world.
--- a/keys/keys.go
+++ b/keys/keys.go
@@ -14,6 +14,7 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
@@ -75,6 +76,19 @@
 	return a, nil
 }
 
+// LoadAuthority returns the authority of a pair that NewAuthority made.
+func LoadAuthority(pair Pair, config Config) (*Authority, error) {
+	both, err := tls.X509KeyPair([]byte(pair.CertificatePEM), []byte(pair.KeyPEM))
+	if err != nil {
+		return nil, ErrMake.Wrap(err, "authority's pair")
+	}
+	key, ok := both.PrivateKey.(*ecdsa.PrivateKey)
+	if !ok || !both.Leaf.IsCA {
+		return nil, ErrMake.New("the pair is not an authority's")
+	}
+	return &Authority{Pair: pair, config: config, certificate: both.Leaf, key: key}, nil
+}
+
 // Issue returns a new pair for a server and client of the given DNS name.
 func (a *Authority) Issue(name string) (Pair, error) {
 	template, err := newTemplate(a.config, name)
--- a/node/node.go
+++ b/node/node.go
@@ -170,6 +170,7 @@
 	n.recorder = report.NewRecorder(report.Config{VM: s.VM, Zone: s.AvailabilityZone})
 	n.callers = caller.New(caller.Config{
 		Record:      n.record,
+		Ready:       n.local.isReady,
 		Bundle:      n.bundles.Index,
 		Next:        entry,
 		Logger:      n.logger,
@@ -269,7 +270,8 @@
 	serving, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, _ := errgroup.WithContext(serving)
-	group.Go(func() error { return n.serveCallers(ctx, callers) })
+	group.Go(func() error { return n.callers.Serve(callers) })
+	group.Go(func() error { return n.becomeReady(ctx) })
 	group.Go(func() error { return n.backends.Serve(backends) })
 	group.Go(func() error { return n.control.Serve(control) })
 	group.Go(func() error { return n.peers.Serve(serving, peers) })
@@ -286,13 +288,13 @@
 	return group.Wait()
 }
 
-// serveCallers serves callers once the node can serve the whole path.
-func (n *Node) serveCallers(ctx context.Context, listener net.Listener) error {
-	if !n.readiness.wait(ctx) {
-		return listener.Close()
+// becomeReady offers the backend server to others once the node can serve the
+// whole path.
+func (n *Node) becomeReady(ctx context.Context) error {
+	if n.readiness.wait(ctx) {
+		n.membership.tell()
 	}
-	n.membership.tell()
-	return n.callers.Serve(listener)
+	return nil
 }
 
 // drain leaves the directory, then lets what runs end: callers first, then the
--- a/request/outcome.go
+++ b/request/outcome.go
@@ -59,6 +59,7 @@
 	CauseDraining
 	CauseCancelled
 	CauseShardUnavailable
+	CauseStarting
 	// Causes is the number of causes.
 	Causes
 )
@@ -92,6 +93,7 @@
 	CauseDraining:            {"draining", http.StatusServiceUnavailable},
 	CauseCancelled:           {"cancelled", 499},
 	CauseShardUnavailable:    {"shardUnavailable", http.StatusServiceUnavailable},
+	CauseStarting:            {"starting", http.StatusServiceUnavailable},
 }
 
 // String returns the word used in headers, logs and metrics.
