--- a/node/node.go
+++ b/node/node.go
@@ -25,7 +25,9 @@
 	"auburngap/backend"
 	"auburngap/bundle"
 	"auburngap/caller"
+	"auburngap/commitment"
 	"auburngap/directory"
+	"auburngap/metrics"
 	"auburngap/peer"
 	"auburngap/platform"
 	"auburngap/report"
@@ -74,6 +76,8 @@
 	peers         *peer.Server
 	control       *controlServer
 	recorder      *report.Recorder
+	metrics       *metrics.Metrics
+	counters      *counters
 	readiness     *readiness
 }
 
@@ -105,6 +109,8 @@
 	if err != nil {
 		return ErrStart.Wrap(err, "peerTls")
 	}
+	n.metrics = metrics.New(metrics.Config{VM: s.VM, Zone: s.AvailabilityZone})
+	n.counters = newCounters(n.metrics.Scope)
 	n.bundles = bundle.NewFollower(bundle.FollowerConfig{
 		Client:    n.config.Platform,
 		Roots:     rootsOf(s),
@@ -130,7 +136,12 @@
 		Logger:    n.logger,
 	})
 	n.backendClient = backend.NewClient(backend.ClientConfig{Tokens: n.tokens, Announced: n.announced.Current})
-	n.local = &localHandler{next: n.backendClient, announced: n.announced, guard: newGuard(n.bundles.Index)}
+	n.local = &localHandler{
+		next:      n.backendClient,
+		announced: n.announced,
+		guard:     newGuard(n.bundles.Index),
+		fence:     commitment.NewFence(commitment.Terms{}),
+	}
 	n.membership = &membership{directory: n.directory, announced: n.announced, local: n.local, onService: n.resubscribe}
 	gate := newGate()
 	router := &router{
@@ -149,10 +160,13 @@
 		Directory: n.directory,
 		Bundle:    n.bundles.Index,
 		Logger:    n.logger,
+		Metrics:   n.metrics.Scope,
+		Violated:  n.violated,
 	})
 	n.readiness = newReadiness(n)
 	n.local.ready = n.readiness.done
-	entry := &entry{bundle: n.bundles.Index, rates: n.shards.rates, gate: gate, next: router}
+	commitments := &commitments{client: n.shards.commitments, next: router}
+	entry := &entry{bundle: n.bundles.Index, rates: n.shards.rates, gate: gate, next: commitments}
 	n.recorder = report.NewRecorder(report.Config{VM: s.VM, Zone: s.AvailabilityZone})
 	n.callers = caller.New(caller.Config{
 		Record:      n.record,
@@ -200,6 +214,12 @@
 	return roots
 }
 
+// violated notes an invariant that does not hold.
+func (n *Node) violated(invariant string) {
+	n.counters.violations.Inc(1)
+	n.logger.Error("node: invariant violated", zap.String("invariant", invariant))
+}
+
 // resubscribe subscribes again after the backend server's service has changed.
 func (n *Node) resubscribe() {
 	if index := n.bundles.Index(); index != nil {
@@ -256,6 +276,7 @@
 	group.Go(func() error { return n.directory.Run(serving) })
 	group.Go(func() error { return n.shards.Run(serving, n.firstBundle) })
 	group.Go(func() error { return n.membership.Run(serving) })
+	group.Go(func() error { return n.gaugeUntil(serving) })
 	group.Go(func() error {
 		<-ctx.Done()
 		n.drain()
@@ -293,6 +314,9 @@
 	n.shutdown(ctx, "control", n.control.Shutdown)
 	n.pool.Close()
 	n.backendClient.Close()
+	if err := n.metrics.Close(); err != nil {
+		n.logger.Warn("node: metrics did not close", zap.Error(err))
+	}
 	n.logger.Info("node: drained")
 }
 
