--- a/directory/link.go
+++ b/directory/link.go
@@ -258,6 +258,7 @@
 
 // noteVersions takes in what the relay knows of bundles.
 func (l *link) noteVersions(m *peerpb.BundleVersions) {
+	l.d.hearWord(m.GetWordAgeMicros())
 	switch l.role {
 	case peerpb.Role_ROLE_NODE:
 		l.d.setAnswered(l.index, true)
--- a/directory/serve.go
+++ b/directory/serve.go
@@ -16,6 +16,10 @@
 // relay that is not its primary sends it a bundle.
 const lagHeartbeats = 2
 
+// wordInterval is the longest time between two frames that tell how old the
+// word of the platform is.
+const wordInterval = 5 * time.Second
+
 // subscriber is the other side of an accepted stream.
 type subscriber struct {
 	d      *Directory
@@ -34,6 +38,7 @@
 	relays     uint64
 	versions   uint64
 	told       bool
+	toldAt     time.Time
 	// bundle is the version that the other side has; lag counts the heartbeats
 	// for which it has been below the one that is ready.
 	bundle  uint64
@@ -273,6 +278,7 @@
 		case <-ctx.Done():
 		case <-changed:
 		case <-s.kick:
+		case <-time.After(wordInterval):
 		}
 	}
 	return ctx.Err()
@@ -291,8 +297,8 @@
 		s.relays = d.relays.Version()
 		frames = append(frames, d.relayList(s.relayZone()))
 	}
-	if s.versions != d.shelf.changes || !s.told {
-		s.versions, s.told = d.shelf.changes, true
+	if s.versions != d.shelf.changes || !s.told || now.Sub(s.toldAt) >= wordInterval {
+		s.versions, s.told, s.toldAt = d.shelf.changes, true, now
 		frames = append(frames, d.bundleVersions())
 	}
 	if bundle, ok := s.bundleDue(); ok {
@@ -385,8 +391,9 @@
 // bundleVersions returns what this node knows of bundles; d.mu is held.
 func (d *Directory) bundleVersions() *peerpb.DirectoryFrame {
 	return &peerpb.DirectoryFrame{Frame: &peerpb.DirectoryFrame_Versions{Versions: &peerpb.BundleVersions{
-		Held:     d.shelf.newest().version,
-		Released: d.shelf.ready.version,
-		CaughtUp: d.shelf.caughtUp,
+		Held:          d.shelf.newest().version,
+		Released:      d.shelf.ready.version,
+		CaughtUp:      d.shelf.caughtUp,
+		WordAgeMicros: d.wordAge(),
 	}}}
 }
--- a/directory/shelf.go
+++ b/directory/shelf.go
@@ -1,5 +1,7 @@
 package directory
 
+import "time"
+
 import "slices"
 
 // maxHeld bounds the bundles that wait for their release.
@@ -27,6 +29,8 @@
 	reports map[string]relayVersions
 	// changes counts what subscribers have to be told.
 	changes uint64
+	// word is when the platform was last read by anyone that is heard here.
+	word time.Time
 }
 
 type heldBundle struct {
@@ -113,13 +117,21 @@
 
 // fromPlatform notes that the platform's head has been read: nothing newer can
 // have been forgotten.
-func (s *shelf) fromPlatform() {
+func (s *shelf) fromPlatform(now time.Time) {
+	s.hear(now)
 	if !s.caughtUp {
 		s.caughtUp = true
 		s.changes++
 	}
 }
 
+// hear notes that the platform was read by someone at a time.
+func (s *shelf) hear(word time.Time) {
+	if word.After(s.word) {
+		s.word = word
+	}
+}
+
 func (s *shelf) report(vm string, v relayVersions) { s.reports[vm] = v }
 
 func (s *shelf) forget(vm string) { delete(s.reports, vm) }
--- a/directory/watch.go
+++ b/directory/watch.go
@@ -86,7 +86,7 @@
 			wait.wait(ctx)
 			continue
 		}
-		d.updateShelf((*shelf).fromPlatform)
+		d.updateShelf(func(s *shelf) { s.fromPlatform(time.Now()) })
 		wait.reset()
 		read = d.nextBundle
 	}
--- /dev/null
+++ b/e2e/stale_test.go
@@ -0,0 +1,35 @@
+package e2e
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"auburngap/bundle"
+	"auburngap/platform/fake"
+)
+
+// TestRefuseWhenOlder takes the platform away: a workspace that asked for it is
+// refused once word of the bundle is too old, the other one is served on.
+func TestRefuseWhenOlder(t *testing.T) {
+	b := pairBundle()
+	b.Workspaces[1].RefuseWhenOlder = bundle.Duration(15 * time.Second)
+	w := newReplicatedWorld(t, b, 1)
+	address := w.node("a").Settings.CallerAddress
+	time.Sleep(3 * time.Second)
+	assert.Equal(t, w.send(address, "GET", "/chain", parishKey, "").status, 200)
+
+	admin := fake.Admin{Address: w.site.Platform}
+	assert.NilError(t, admin.SetFaults(w.ctx, fake.Faults{Down: true}))
+	w.waitFor("the workspace is refused", func() bool {
+		got := w.send(address, "GET", "/chain", parishKey, "")
+		return got.cause == "staleBundle" && got.outcome == "notRun"
+	})
+	assert.Equal(t, w.send(address, "GET", "/chain", schoolKey, "").status, 200)
+
+	assert.NilError(t, admin.SetFaults(w.ctx, fake.Faults{}))
+	w.waitFor("the workspace is served again", func() bool {
+		return w.send(address, "GET", "/chain", parishKey, "").status == 200
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -171,6 +171,7 @@
 	n.callers = caller.New(caller.Config{
 		Record:      n.record,
 		Ready:       n.local.isReady,
+		Stale:       n.isStale,
 		Bundle:      n.bundles.Index,
 		Next:        entry,
 		Logger:      n.logger,
@@ -215,6 +216,12 @@
 	return roots
 }
 
+// isStale tells whether a workspace is refused as the word of the bundle in
+// force is too old.
+func (n *Node) isStale(workspace *bundle.Workspace) bool {
+	return workspace.RefuseWhenOlder > 0 && time.Since(n.directory.Word()) > time.Duration(workspace.RefuseWhenOlder)
+}
+
 // violated notes an invariant that does not hold.
 func (n *Node) violated(invariant string) {
 	n.counters.violations.Inc(1)
--- a/node/shard_commitments.go
+++ b/node/shard_commitments.go
@@ -20,6 +20,7 @@
 	}
 	answer := &peerpb.BeginAnswer{}
 	if err := peer.Ask(ctx, s.config.Pool, address, peer.KindBegin, begin, answer); err != nil {
+		s.refresh()
 		return nil, err
 	}
 	return answer, nil
@@ -37,6 +38,7 @@
 	}
 	answer := &peerpb.FinishAnswer{}
 	if err := peer.Ask(ctx, s.config.Pool, address, peer.KindFinish, finish, answer); err != nil {
+		s.refresh()
 		return nil, err
 	}
 	return answer, nil
--- a/node/shards.go
+++ b/node/shards.go
@@ -161,7 +161,11 @@
 	for try := 1; ; try++ {
 		answer, err := s.drawOnce(ctx, draw)
 		untaken := answer.GetNotOwner() || errorx.IsOfType(err, errNoOwner) || errorx.IsOfType(err, peer.ErrUnreachable)
-		if !untaken || try >= ownerTries || !pause(ctx, ownerRetry) {
+		if !untaken {
+			return answer, err
+		}
+		s.refresh()
+		if try >= ownerTries || !pause(ctx, ownerRetry) {
 			return answer, err
 		}
 	}
@@ -182,6 +186,13 @@
 	return answer, nil
 }
 
+// refresh asks for a newer table of owners.
+func (s *shards) refresh() {
+	if keeper := s.keeper.Load(); keeper != nil {
+		keeper.Refresh()
+	}
+}
+
 // pause waits; false where the context ends first.
 func pause(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
@@ -241,11 +252,14 @@
 	return s.drawOnce(ctx, draw)
 }
 
-func (s *shards) onConfirm(ctx context.Context, _ peer.Identity, payload []byte) (proto.Message, error) {
+func (s *shards) onConfirm(ctx context.Context, from peer.Identity, payload []byte) (proto.Message, error) {
 	var question peerpb.ShardConfirm
 	if err := peer.Decode(payload, &question); err != nil {
 		return nil, err
 	}
+	if question.GetVm() != from.VM {
+		return nil, peer.ErrFrame.New("a question of %s in the name of %s", from.VM, question.GetVm())
+	}
 	keeper := s.keeper.Load()
 	if keeper == nil {
 		return nil, errNoOwner.New("shards are not kept yet")
