--- a/app/settings.go
+++ b/app/settings.go
@@ -5,6 +5,7 @@
 	"io"
 
 	"auburngap/settings"
+	"auburngap/strictjson"
 )
 
 // settingsCommand is "auburngap settings ...".
@@ -35,7 +36,7 @@
 }
 
 func failSettings(stderr io.Writer, err error) int {
-	var faults *settings.FaultsError
+	var faults *strictjson.FaultsError
 	if errors.As(err, &faults) {
 		printLine(stderr, faults.Error())
 		return ExitUsage
--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -13,14 +13,9 @@
 package bundle
 
 import (
-	"time"
-
 	"auburngap/request"
 )
 
-// Duration is a time.Duration written as text, such as "250ms", in JSON.
-type Duration time.Duration
-
 // Bundle is one version of the operators' configuration.
 type Bundle struct {
 	// Version is given by the rollout; it only grows.
--- a/bundle/index.go
+++ b/bundle/index.go
@@ -5,7 +5,6 @@
 	"encoding/base64"
 	"slices"
 	"strings"
-	"time"
 )
 
 // Index answers the request path's questions about one bundle. It is never
@@ -167,14 +166,6 @@
 	return 1 / float64(len(x.zones))
 }
 
-// Or returns the duration, or the fallback where it is zero.
-func (d Duration) Or(fallback time.Duration) time.Duration {
-	if d == 0 {
-		return fallback
-	}
-	return time.Duration(d)
-}
-
 // Path returns a service and all services that a call to it may reach.
 func (x *Index) Path(service string) []string {
 	path := []string{service}
--- a/bundle/parse.go
+++ b/bundle/parse.go
@@ -1,45 +1,27 @@
 package bundle
 
-import (
-	"encoding/json"
+import "auburngap/strictjson"
 
-	"github.com/tailscale/hujson"
-)
+// Fault is one thing wrong with a bundle.
+type Fault = strictjson.Fault
+
+// FaultsError is every fault of a bundle.
+type FaultsError = strictjson.FaultsError
+
+// Duration is a time.Duration written as text, such as "250ms", in JSON.
+type Duration = strictjson.Duration
 
 // Parse reads a bundle from JSON with comments and checks it. Faults, every
 // one with its line, come as *FaultsError.
 func Parse(source []byte) (*Bundle, error) {
 	b := &Bundle{}
-	reader, faults := readStrictly(source, b)
+	reader, faults := strictjson.Read(source, b)
 	if len(faults) > 0 {
 		return nil, &FaultsError{Faults: faults}
 	}
 	faults = b.Check()
 	if len(faults) > 0 {
-		for i := range faults {
-			faults[i].Line = reader.lineOf(faults[i].Field)
-		}
-		sortFaults(faults)
-		return nil, &FaultsError{Faults: faults}
+		return nil, &FaultsError{Faults: reader.Locate(faults)}
 	}
 	return b, nil
 }
-
-// readStrictly decodes JSON with comments into target, a pointer to a struct.
-func readStrictly(source []byte, target any) (*strictReader, []Fault) {
-	tree, err := hujson.Parse(source)
-	if err != nil {
-		return nil, []Fault{{Line: 1, Field: "file", Allowed: "JSON with comments is needed: " + err.Error()}}
-	}
-	reader := newStrictReader(source)
-	reader.walk(&tree, target)
-	if len(reader.faults) > 0 {
-		sortFaults(reader.faults)
-		return reader, reader.faults
-	}
-	tree.Standardize()
-	if err := json.Unmarshal(tree.Pack(), target); err != nil {
-		return reader, []Fault{{Line: 1, Field: "file", Allowed: err.Error()}}
-	}
-	return reader, nil
-}
--- a/request/outcome.go
+++ b/request/outcome.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -141,11 +142,18 @@
 }
 
 // AsRefusal returns the refusal behind an error; an error of any other kind
-// becomes a failed backend server whose outcome is unknown.
+// becomes an end of the context, or a failed backend server, whose outcome is
+// unknown.
 func AsRefusal(err error) *Refusal {
 	var refusal *Refusal
 	if errors.As(err, &refusal) {
 		return refusal
 	}
+	if errors.Is(err, context.Canceled) {
+		return Refuse(CauseCancelled, Unknown, 0)
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return Refuse(CauseDeadline, Unknown, 0)
+	}
 	return Refuse(CauseBackendFailed, Unknown, 0)
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -1,31 +1,29 @@
 package settings
 
 import (
-	"cmp"
 	"crypto/ed25519"
 	"encoding/base64"
 	"net/netip"
-	"slices"
 
 	"go.uber.org/zap/zapcore"
+
+	"auburngap/strictjson"
 )
 
 // checker gathers the faults of one file.
 type checker struct {
-	path   string
-	fields map[string]field
-	faults []Fault
+	faults []strictjson.Fault
 }
 
 func (c *checker) demand(ok bool, name, allowed string) {
 	if !ok {
-		c.faults = append(c.faults, Fault{c.path, c.fields[name].line, name, allowed})
+		c.faults = append(c.faults, strictjson.Fault{Field: name, Allowed: allowed})
 	}
 }
 
 // check returns every value that is out of bounds.
-func (n *Node) check(path string, fields map[string]field) []Fault {
-	c := &checker{path: path, fields: fields}
+func (n *Node) check() []strictjson.Fault {
+	c := &checker{}
 	c.demand(n.VM != "", "vm", "a name is needed")
 	c.demand(n.AvailabilityZone != "", "availabilityZone", "a name is needed")
 	c.address(n.CallerAddress, "callerAddress")
@@ -46,7 +44,6 @@
 	c.tls(n.CallerTLS, "callerTls")
 	_, err := zapcore.ParseLevel(n.LogLevel)
 	c.demand(err == nil, "logLevel", "debug, info, warn or error")
-	sortFaults(c.faults)
 	return c.faults
 }
 
@@ -62,9 +59,3 @@
 	key, err := base64.StdEncoding.DecodeString(text)
 	return err == nil && len(key) == ed25519.PublicKeySize
 }
-
-func sortFaults(faults []Fault) {
-	slices.SortStableFunc(faults, func(a, b Fault) int {
-		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Field, b.Field))
-	})
-}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -9,13 +9,15 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
+
+	"auburngap/strictjson"
 )
 
 func TestFaults(t *testing.T) {
 	data, err := os.ReadFile("testdata/faulty.json")
 	assert.NilError(t, err)
 	_, err = Parse("faulty.json", data)
-	var faults *FaultsError
+	var faults *strictjson.FaultsError
 	assert.Assert(t, errors.As(err, &faults))
 	golden.Assert(t, faults.Error()+"\n", "faulty.golden")
 }
--- a/bundle/duration.go
+++ b/strictjson/duration.go
@@ -1,4 +1,4 @@
-package bundle
+package strictjson
 
 import (
 	"encoding/json"
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// Duration is a time.Duration written as text, such as "250ms", in JSON.
+type Duration time.Duration
+
 // MarshalJSON writes the duration as text.
 func (d Duration) MarshalJSON() ([]byte, error) {
 	return json.Marshal(time.Duration(d).String())
@@ -24,3 +27,11 @@
 	*d = Duration(parsed)
 	return nil
 }
+
+// Or returns the duration, or the fallback where it is zero.
+func (d Duration) Or(fallback time.Duration) time.Duration {
+	if d == 0 {
+		return fallback
+	}
+	return time.Duration(d)
+}
--- a/bundle/fault.go
+++ b/strictjson/fault.go
@@ -1,4 +1,4 @@
-package bundle
+package strictjson
 
 import (
 	"cmp"
@@ -7,9 +7,9 @@
 	"strings"
 )
 
-// Fault is one thing wrong with a bundle.
+// Fault is one thing wrong with a source.
 type Fault struct {
-	// Line is 0 where the bundle was not read from text.
+	// Line is 0 where there is no text.
 	Line int `json:"line,omitempty"`
 	// Field is the path of the field, such as workspaces[2].rate.
 	Field string `json:"field"`
@@ -25,8 +25,10 @@
 	return fmt.Sprintf("%d: %s: %s", f.Line, f.Field, f.Allowed)
 }
 
-// FaultsError is every fault of a bundle.
+// FaultsError is every fault of a source.
 type FaultsError struct {
+	// File is named in each line where it is not empty.
+	File   string
 	Faults []Fault
 }
 
@@ -35,6 +37,9 @@
 	lines := make([]string, len(e.Faults))
 	for i, fault := range e.Faults {
 		lines[i] = fault.String()
+		if e.File != "" {
+			lines[i] = e.File + ":" + lines[i]
+		}
 	}
 	return strings.Join(lines, "\n")
 }
--- a/bundle/strict.go
+++ b/strictjson/reader.go
@@ -1,7 +1,8 @@
-package bundle
+package strictjson
 
 import (
 	"bytes"
+	"encoding"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -12,9 +13,9 @@
 	"github.com/tailscale/hujson"
 )
 
-// strictReader compares a tree of JSON with a Go type and finds every fault:
+// Reader knows the lines of a source's fields. It compares a tree of JSON with a Go type and finds every fault:
 // unknown and doubled fields and values of the wrong type.
-type strictReader struct {
+type Reader struct {
 	source []byte
 	// lineStarts are the offsets of the lines.
 	lineStarts []int
@@ -22,8 +23,8 @@
 	faults     []Fault
 }
 
-func newStrictReader(source []byte) *strictReader {
-	r := &strictReader{source: source, lineStarts: []int{0}, lines: make(map[string]int)}
+func newReader(source []byte) *Reader {
+	r := &Reader{source: source, lineStarts: []int{0}, lines: make(map[string]int)}
 	for i, c := range source {
 		if c == '\n' {
 			r.lineStarts = append(r.lineStarts, i+1)
@@ -32,11 +33,11 @@
 	return r
 }
 
-func (r *strictReader) walk(tree *hujson.Value, target any) {
+func (r *Reader) walk(tree *hujson.Value, target any) {
 	r.value(tree, reflect.TypeOf(target).Elem(), "")
 }
 
-func (r *strictReader) line(offset int) int {
+func (r *Reader) line(offset int) int {
 	after, found := slices.BinarySearch(r.lineStarts, offset)
 	if found {
 		return after + 1
@@ -44,8 +45,8 @@
 	return after
 }
 
-// lineOf returns the line of a field, or of the nearest one around it.
-func (r *strictReader) lineOf(path string) int {
+// LineOf returns the line of a field, or of the nearest one around it.
+func (r *Reader) LineOf(path string) int {
 	for path != "" {
 		if line, ok := r.lines[path]; ok {
 			return line
@@ -55,23 +56,32 @@
 	return 1
 }
 
-func (r *strictReader) fault(offset int, path, format string, args ...any) {
+func (r *Reader) fault(offset int, path, format string, args ...any) {
 	if path == "" {
 		path = "file"
 	}
 	r.faults = append(r.faults, Fault{Line: r.line(offset), Field: path, Allowed: fmt.Sprintf(format, args...)})
 }
 
-var unmarshaler = reflect.TypeFor[json.Unmarshaler]()
+var (
+	unmarshaler     = reflect.TypeFor[json.Unmarshaler]()
+	textUnmarshaler = reflect.TypeFor[encoding.TextUnmarshaler]()
+)
+
+// readsItself tells whether a type decodes its own text.
+func readsItself(t reflect.Type) bool {
+	pointer := reflect.PointerTo(t)
+	return pointer.Implements(unmarshaler) || pointer.Implements(textUnmarshaler)
+}
 
-func (r *strictReader) value(v *hujson.Value, t reflect.Type, path string) {
+func (r *Reader) value(v *hujson.Value, t reflect.Type, path string) {
 	r.lines[path] = r.line(v.StartOffset)
 	if string(bytes.TrimSpace(v.Pack())) == "null" {
 		r.fault(v.StartOffset, path, "null is not allowed; leave the field out")
 		return
 	}
 	kind := t.Kind()
-	if reflect.PointerTo(t).Implements(unmarshaler) {
+	if readsItself(t) {
 		kind = reflect.Invalid
 	}
 	switch kind {
@@ -86,7 +96,7 @@
 	}
 }
 
-func (r *strictReader) object(v *hujson.Value, t reflect.Type, path string) {
+func (r *Reader) object(v *hujson.Value, t reflect.Type, path string) {
 	object, ok := v.Value.(*hujson.Object)
 	if !ok {
 		r.fault(v.StartOffset, path, "an object is needed")
@@ -115,7 +125,7 @@
 	}
 }
 
-func (r *strictReader) array(v *hujson.Value, t reflect.Type, path string) {
+func (r *Reader) array(v *hujson.Value, t reflect.Type, path string) {
 	array, ok := v.Value.(*hujson.Array)
 	if !ok {
 		r.fault(v.StartOffset, path, "a list is needed")
@@ -126,7 +136,7 @@
 	}
 }
 
-func (r *strictReader) leaf(v *hujson.Value, t reflect.Type, path string) {
+func (r *Reader) leaf(v *hujson.Value, t reflect.Type, path string) {
 	plain := v.Clone()
 	plain.Standardize()
 	err := json.Unmarshal(plain.Pack(), reflect.New(t).Interface())
