Ask any peer for an owner that is not known here

Cause: TestPlatformOutage failed in two of five runs: after its owner was killed and restarted while the platform was down, a zone refused 52 of about 1,700 requests with 429 for a second. A restarted owner starts without tokens and may accrue only once its predecessor's loans have lapsed; it could not borrow either, as it knew the owners of no other zone. Ruled out: the wallets, which did ask the other zone. Now a draw for an owner that is not known goes to a relay or a seed, which passes it on.

--- a/node/node.go
+++ b/node/node.go
@@ -156,6 +156,7 @@
 	n.shards = newShards(shardsConfig{
 		Self:      n.identity,
 		Address:   s.PeerAddress,
+		Seeds:     s.Seeds,
 		Platform:  n.config.Platform,
 		Pool:      n.pool,
 		Directory: n.directory,
--- a/node/shards.go
+++ b/node/shards.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,8 +35,10 @@
 
 // shardsConfig configures shards.
 type shardsConfig struct {
-	Self      peer.Identity
-	Address   netip.AddrPort
+	Self    peer.Identity
+	Address netip.AddrPort
+	// Seeds are nodes to ask for owners when the platform is down.
+	Seeds     []netip.AddrPort
 	Platform  platform.Client
 	Pool      *peer.Pool
 	Directory *directory.Directory
@@ -174,7 +178,9 @@
 func (s *shards) drawOnce(ctx context.Context, draw *peerpb.Draw) (*peerpb.DrawAnswer, error) {
 	vm, address, err := s.ownerOf(draw.GetAvailabilityZone(), int(draw.GetShard()))
 	if err != nil {
-		return nil, err
+		if address, err = s.anyPeer(err); err != nil {
+			return nil, err
+		}
 	}
 	if vm == s.config.Self.VM {
 		return s.bank.HandleDraw(ctx, draw), nil
@@ -215,6 +221,21 @@
 	return true
 }
 
+// anyPeer returns a node that may know an owner which this one does not, such as
+// after a restart while the platform is down; it passes draws on.
+func (s *shards) anyPeer(unknown error) (netip.AddrPort, error) {
+	var peers []netip.AddrPort
+	for _, relay := range s.config.Directory.Relays() {
+		peers = append(peers, relay.Address)
+	}
+	peers = append(peers, s.config.Seeds...)
+	peers = slices.DeleteFunc(peers, func(p netip.AddrPort) bool { return p == s.config.Address || !p.IsValid() })
+	if len(peers) == 0 {
+		return netip.AddrPort{}, unknown
+	}
+	return peers[rand.IntN(len(peers))], nil
+}
+
 func (s *shards) ownerOf(zone string, index int) (string, netip.AddrPort, error) {
 	keeper := s.keeper.Load()
 	if keeper == nil {
