--- a/backend/server.go
+++ b/backend/server.go
@@ -27,8 +27,6 @@
 	HeartbeatInterval = time.Second
 
 	maxAnnouncementBytes = 16 << 10
-	maxBodyBytes         = 1 << 30
-	readBufferBytes      = 16 << 10
 )
 
 // ServerConfig configures a Server.
@@ -52,19 +50,7 @@
 // NewServer returns a server.
 func NewServer(config ServerConfig) *Server {
 	s := &Server{config: config}
-	s.http = &fasthttp.Server{
-		Handler:                      s.handle,
-		Name:                         "auburngap",
-		StreamRequestBody:            true,
-		DisablePreParseMultipartForm: true,
-		NoDefaultServerHeader:        true,
-		NoDefaultDate:                true,
-		ReduceMemoryUsage:            true,
-		MaxRequestBodySize:           maxBodyBytes,
-		ReadBufferSize:               readBufferBytes,
-		CloseOnShutdown:              true,
-		Logger:                       zap.NewStdLog(config.Logger.Named("http").WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
-	}
+	s.http = httpconn.NewServer(httpconn.ServerConfig{Handler: s.handle, Logger: config.Logger})
 	return s
 }
 
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -27,14 +27,8 @@
 	"auburngap/request"
 )
 
-const (
-	// maxBodyBytes bounds a request's body.
-	maxBodyBytes = 1 << 30
-	// readBufferBytes bounds the head of a request.
-	readBufferBytes = 16 << 10
-	// defaultTimeout bounds requests on routes that state none.
-	defaultTimeout = 30 * time.Second
-)
+// defaultTimeout bounds requests on routes that state none.
+const defaultTimeout = 30 * time.Second
 
 // Sample is what became of one request.
 type Sample struct {
@@ -74,21 +68,12 @@
 // New returns a server.
 func New(config Config) *Server {
 	s := &Server{config: config}
-	s.http = &fasthttp.Server{
-		Handler:                      s.handle,
-		ErrorHandler:                 badRequest,
-		Name:                         "auburngap",
-		StreamRequestBody:            true,
-		DisablePreParseMultipartForm: true,
-		NoDefaultServerHeader:        true,
-		NoDefaultDate:                true,
-		ReduceMemoryUsage:            true,
-		MaxRequestBodySize:           maxBodyBytes,
-		ReadBufferSize:               readBufferBytes,
-		IdleTimeout:                  config.IdleTimeout,
-		CloseOnShutdown:              true,
-		Logger:                       zap.NewStdLog(config.Logger.Named("http").WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
-	}
+	s.http = httpconn.NewServer(httpconn.ServerConfig{
+		Handler:      s.handle,
+		OnBadRequest: badRequest,
+		IdleTimeout:  config.IdleTimeout,
+		Logger:       config.Logger,
+	})
 	return s
 }
 
--- /dev/null
+++ b/directory/link_choice.go
@@ -0,0 +1,132 @@
+package directory
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"auburngap/peer/peerpb"
+)
+
+// runNodeLink keeps one of the links by which the node announces itself. The
+// wait between tries does not grow, as relays that fail are passed over for a
+// while.
+func (d *Directory) runNodeLink(ctx context.Context, i int) error {
+	source, wasRelay := d.newSource(), false
+	for ; ctx.Err() == nil; d.pauseLink(ctx) {
+		asRelay := d.isRelay()
+		if asRelay && !wasRelay {
+			d.retire(source)
+			source = d.newSource()
+		}
+		wasRelay = asRelay
+		relay, ok := d.chooseRelay(time.Now(), i)
+		if !ok {
+			continue
+		}
+		l := &link{d: d, relay: relay, role: peerpb.Role_ROLE_NODE, source: source, index: i, asRelay: asRelay}
+		began := time.Now()
+		_, err := l.follow(ctx)
+		d.endNodeLink(i, relay, time.Since(began) >= shortestLink)
+		d.logger.Debug("directory: link ended", zap.String("relay", relay.VM), zap.Error(err))
+	}
+	return nil
+}
+
+func (d *Directory) pauseLink(ctx context.Context) {
+	retry := d.config.Timing.Retry
+	sleep(ctx, retry/2+jitter(retry/2))
+}
+
+func (d *Directory) newSource() Source {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lastSource++
+	return d.lastSource
+}
+
+// retire drops a source after a while, in which another takes its place.
+func (d *Directory) retire(source Source) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.retired[source] = time.Now().Add(retireAfter)
+}
+
+// dropRetired drops the sources whose time has come; d.mu is held.
+func (d *Directory) dropRetired(now time.Time) {
+	for source, at := range d.retired {
+		if !now.Before(at) {
+			d.state.Retain(now, source, nil)
+			delete(d.retired, source)
+		}
+	}
+}
+
+// dropSource unlists everything that a source lists.
+func (d *Directory) dropSource(source Source) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	before := d.state.Version()
+	d.state.Retain(time.Now(), source, nil)
+	if d.state.Version() != before {
+		d.wake()
+	}
+}
+
+// chooseRelay returns the relay that a link shall lead to: the first one by
+// this VM's order that answers and is not the other link's.
+func (d *Directory) chooseRelay(now time.Time, i int) (Relay, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, relay := range d.relays.Ranked(d.config.Zone, d.config.VM) {
+		if relay.VM == d.config.VM || now.Before(d.failed[relay.Address]) || d.leadsTo(relay.Address, i) {
+			continue
+		}
+		d.links[i] = relay.Address
+		return relay, true
+	}
+	return Relay{}, false
+}
+
+// leadsTo tells whether a link other than the given one leads to an address;
+// d.mu is held.
+func (d *Directory) leadsTo(address netip.AddrPort, but int) bool {
+	for j, other := range d.links {
+		if j != but && other == address {
+			return true
+		}
+	}
+	return false
+}
+
+// prefers tells whether a relay is among the first choices of this VM. While
+// the table lists too few, every relay that answers is kept.
+func (d *Directory) prefers(relay Relay) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	better := 0
+	for _, r := range d.relays.Ranked(d.config.Zone, d.config.VM) {
+		switch {
+		case r.Address == relay.Address:
+			return better < nodeLinks
+		case r.VM != d.config.VM && !time.Now().Before(d.failed[r.Address]):
+			better++
+		}
+	}
+	return better < nodeLinks
+}
+
+// endNodeLink notes the end of a link; a relay that did not keep it is avoided
+// for a while.
+func (d *Directory) endNodeLink(i int, relay Relay, lasted bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.links[i] = netip.AddrPort{}
+	d.answered[i] = false
+	if !lasted {
+		d.failed[relay.Address] = time.Now().Add(d.config.Timing.MaxRetry)
+	}
+	d.wake()
+}
--- /dev/null
+++ b/httpconn/server.go
@@ -0,0 +1,44 @@
+package httpconn
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+)
+
+const (
+	// maxBodyBytes bounds a request's body, which is streamed.
+	maxBodyBytes = 1 << 30
+	// headBytes bounds the head of a request.
+	headBytes = 16 << 10
+)
+
+// ServerConfig configures a server of requests that are passed on.
+type ServerConfig struct {
+	Handler fasthttp.RequestHandler
+	// OnBadRequest answers requests that cannot be read; nil takes the library's answer.
+	OnBadRequest func(ctx *fasthttp.RequestCtx, err error)
+	// IdleTimeout closes idle connections; zero keeps them.
+	IdleTimeout time.Duration
+	Logger      *zap.Logger
+}
+
+// NewServer returns a server that streams bodies and adds nothing of its own.
+func NewServer(config ServerConfig) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:                      config.Handler,
+		ErrorHandler:                 config.OnBadRequest,
+		Name:                         "auburngap",
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader:        true,
+		NoDefaultDate:                true,
+		ReduceMemoryUsage:            true,
+		MaxRequestBodySize:           maxBodyBytes,
+		ReadBufferSize:               headBytes,
+		IdleTimeout:                  config.IdleTimeout,
+		CloseOnShutdown:              true,
+		Logger:                       zap.NewStdLog(config.Logger.Named("http").WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+	}
+}
--- a/node/counters.go
+++ b/node/counters.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
 
 	"auburngap/report"
 	"auburngap/request"
@@ -59,3 +60,9 @@
 	}
 	return nil
 }
+
+// violated notes an invariant that does not hold.
+func (n *Node) violated(invariant string) {
+	n.counters.violations.Inc(1)
+	n.logger.Error("node: invariant violated", zap.String("invariant", invariant))
+}
--- a/node/router.go
+++ b/node/router.go
@@ -97,14 +97,7 @@
 		return false
 	}
 	call.Body = call.Replay()
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause(ctx, delay)
 }
 
 // withBudget makes the answer's report tell what is left of the budget.
--- /dev/null
+++ b/node/wire.go
@@ -0,0 +1,125 @@
+package node
+
+import (
+	"crypto/tls"
+	"time"
+
+	"auburngap/backend"
+	"auburngap/bundle"
+	"auburngap/caller"
+	"auburngap/commitment"
+	"auburngap/directory"
+	"auburngap/metrics"
+	"auburngap/peer"
+	"auburngap/report"
+	"auburngap/retry"
+)
+
+// wire makes the parts in the order in which they need each other.
+func (n *Node) wire() error {
+	s := n.config.Settings
+	peerTLS, err := tlsOf(s.PeerTLS)
+	if err != nil {
+		return ErrStart.Wrap(err, "peerTls")
+	}
+	n.metrics = metrics.New(metrics.Config{VM: s.VM, Zone: s.AvailabilityZone})
+	n.counters = newCounters(n.metrics.Scope)
+	n.wireMembership(peerTLS)
+	n.wireDecisions()
+	n.wireServers(peerTLS)
+	return nil
+}
+
+// wireMembership makes what follows bundles and backend servers.
+func (n *Node) wireMembership(peerTLS *tls.Config) {
+	s := n.config.Settings
+	n.bundles = bundle.NewFollower(bundle.FollowerConfig{
+		Client:    n.config.Platform,
+		Roots:     rootsOf(s),
+		OnForce:   n.apply,
+		OnRefused: n.refuseBundle,
+	})
+	n.announced = newAnnouncements()
+	n.tokens = backend.NewTokens()
+	n.pool = peer.NewPool(peer.PoolConfig{Self: n.identity, TLS: peerTLS, Logger: n.logger})
+	n.routes = newRoutes(n.identity.VM, n.identity.Zone)
+	n.directory = directory.New(directory.Config{
+		VM:         n.identity.VM,
+		Zone:       n.identity.Zone,
+		Address:    s.PeerAddress,
+		Seeds:      s.Seeds,
+		Platform:   n.config.Platform,
+		Peers:      directory.NewDialer(n.pool),
+		Bundles:    n.bundles,
+		Source:     n.bundles,
+		Verify:     n.bundles.Verify,
+		ProofSince: n.bundles.ProofSince,
+		Zones:      n.zones,
+		OnTargets:  n.routes.Update,
+		Logger:     n.logger,
+	})
+}
+
+// wireDecisions makes what decides on calls.
+func (n *Node) wireDecisions() {
+	s := n.config.Settings
+	n.backendClient = backend.NewClient(backend.ClientConfig{Tokens: n.tokens, Announced: n.announced.Current})
+	n.local = &localHandler{
+		next:      n.backendClient,
+		announced: n.announced,
+		guard:     newGuard(n.bundles.Index),
+		fence:     commitment.NewFence(commitment.Terms{}),
+	}
+	n.membership = &membership{directory: n.directory, announced: n.announced, local: n.local, onService: n.resubscribe}
+	n.gate = newGate()
+	n.router = &router{
+		self:   n.identity.VM,
+		local:  n.local,
+		pool:   n.pool,
+		routes: n.routes,
+		gate:   n.gate,
+		policy: retry.NewPolicy(retry.Config{}),
+	}
+	n.shards = newShards(shardsConfig{
+		Self:      n.identity,
+		Address:   s.PeerAddress,
+		Seeds:     s.Seeds,
+		Platform:  n.config.Platform,
+		Pool:      n.pool,
+		Directory: n.directory,
+		Bundle:    n.bundles.Index,
+		Logger:    n.logger,
+		Metrics:   n.metrics.Scope,
+		Violated:  n.violated,
+	})
+	n.readiness = newReadiness(n)
+	n.local.ready = n.readiness.done
+}
+
+// wireServers makes what callers, backend servers, nodes and operators speak to.
+func (n *Node) wireServers(peerTLS *tls.Config) {
+	s := n.config.Settings
+	commitments := &commitments{client: n.shards.commitments, next: n.router}
+	entry := &entry{bundle: n.bundles.Index, rates: n.shards.rates, gate: n.gate, next: commitments}
+	n.recorder = report.NewRecorder(report.Config{VM: s.VM, Zone: s.AvailabilityZone})
+	n.callers = caller.New(caller.Config{
+		Record:      n.record,
+		Ready:       n.local.isReady,
+		Stale:       n.isStale,
+		Bundle:      n.bundles.Index,
+		Next:        entry,
+		Logger:      n.logger,
+		IdleTimeout: time.Duration(s.IdleTimeout),
+	})
+	n.backends = backend.NewServer(backend.ServerConfig{
+		Tokens:     n.tokens,
+		Bundle:     n.bundles.Index,
+		Next:       n.router,
+		OnAnnounce: n.announced.Set,
+		Logger:     n.logger,
+	})
+	n.peers = peer.NewServer(peer.ServerConfig{Self: n.identity, TLS: peerTLS, Calls: n.local, Logger: n.logger})
+	n.shards.Handle(n.peers)
+	n.peers.HandleStream(peer.KindAnnounce, n.directory.HandleStream)
+	n.control = newControlServer(n)
+}
