--- a/demo/report.go
+++ b/demo/report.go
@@ -9,7 +9,7 @@
 // report prints the status and the report, and writes the report as a page.
 func (d *demo) report(ctx context.Context) error {
 	nodes := d.nodeFlags()
-	status, err := d.run(ctx, append([]string{"status"}, nodes...)...)
+	status, err := d.run(ctx, "status")
 	if err != nil {
 		return err
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -46,6 +46,8 @@
 	VM      string
 	Zone    string
 	Address netip.AddrPort
+	// ControlAddress is where operators reach the node; it is told at the platform.
+	ControlAddress netip.AddrPort
 	// Seeds are peer addresses of nodes to ask for relays.
 	Seeds    []netip.AddrPort
 	Platform platform.Client
--- a/directory/slot.go
+++ b/directory/slot.go
@@ -32,6 +32,8 @@
 type slotValue struct {
 	VM      string         `json:"vm"`
 	Address netip.AddrPort `json:"address"`
+	// ControlAddress is where operators ask the relay.
+	ControlAddress netip.AddrPort `json:"controlAddress"`
 }
 
 // relayPrefix is the platform's prefix of a zone's relay slots.
@@ -162,7 +164,7 @@
 			return 0, ErrSlotTaken.New("slot %d is held by %s", slot, relay.VM)
 		}
 	}
-	value, err := json.Marshal(slotValue{VM: d.config.VM, Address: d.config.Address})
+	value, err := json.Marshal(slotValue{VM: d.config.VM, Address: d.config.Address, ControlAddress: d.config.ControlAddress})
 	if err != nil {
 		return 0, err
 	}
--- a/node/wire.go
+++ b/node/wire.go
@@ -44,19 +44,20 @@
 	n.pool = peer.NewPool(peer.PoolConfig{Self: n.identity, TLS: peerTLS, Logger: n.logger})
 	n.routes = newRoutes(n.identity.VM, n.identity.Zone)
 	n.directory = directory.New(directory.Config{
-		VM:         n.identity.VM,
-		Zone:       n.identity.Zone,
-		Address:    s.PeerAddress,
-		Seeds:      s.Seeds,
-		Platform:   n.config.Platform,
-		Peers:      directory.NewDialer(n.pool),
-		Bundles:    n.bundles,
-		Source:     n.bundles,
-		Verify:     n.bundles.Verify,
-		ProofSince: n.bundles.ProofSince,
-		Zones:      n.zones,
-		OnTargets:  n.routes.Update,
-		Logger:     n.logger,
+		VM:             n.identity.VM,
+		Zone:           n.identity.Zone,
+		Address:        s.PeerAddress,
+		Seeds:          s.Seeds,
+		ControlAddress: s.ControlAddress,
+		Platform:       n.config.Platform,
+		Peers:          directory.NewDialer(n.pool),
+		Bundles:        n.bundles,
+		Source:         n.bundles,
+		Verify:         n.bundles.Verify,
+		ProofSince:     n.bundles.ProofSince,
+		Zones:          n.zones,
+		OnTargets:      n.routes.Update,
+		Logger:         n.logger,
 	})
 }
 
