--- a/e2e/control_test.go
+++ b/e2e/control_test.go
@@ -41,58 +41,39 @@
 	b := chainBundle()
 	b.Zones = b.Zones[:1]
 	publish(t, platform.NewHTTPClient(platform.HTTPConfig{Address: s.Platform}), key, b)
+	var ids []int
+	for _, vm := range vms {
+		ids = append(ids, s.Node(vm.Name).ID())
+	}
 	time.Sleep(settling)
 	admin := fake.Admin{Address: s.Platform}
 	before, err := admin.Counts(t.Context())
 	assert.NilError(t, err)
-	cpu := cpuTime(t)
+	cpu := cpuTime(t, ids)
 	time.Sleep(measured)
 	after, err := admin.Counts(t.Context())
 	assert.NilError(t, err)
-	cpu = cpuTime(t) - cpu
+	cpu = cpuTime(t, ids) - cpu
 	perSecond := func(calls int) float64 { return float64(calls) / measured.Seconds() }
 	t.Logf("%2d nodes: %.1f MB resident and %.2f%% of a core each; platform: %.1f reads and %.1f writes a second, %+v",
-		n, residentMB(t)/float64(n), 100*cpu.Seconds()/measured.Seconds()/float64(n),
+		n, residentMB(t, ids)/float64(n), 100*cpu.Seconds()/measured.Seconds()/float64(n),
 		perSecond(after.Reads()-before.Reads()), perSecond(after.Writes()-before.Writes()), after)
 }
 
-// nodeProcesses returns the process IDs of the nodes that this test started.
-func nodeProcesses(t *testing.T) []int {
-	entries, err := os.ReadDir("/proc")
-	assert.NilError(t, err)
-	var ids []int
-	for _, entry := range entries {
-		id, err := strconv.Atoi(entry.Name())
-		if err != nil {
-			continue
-		}
-		line, err := os.ReadFile(fmt.Sprintf("/proc/%d/cmdline", id))
-		if err == nil && bytes.HasPrefix(line, []byte(binary+"\x00node\x00")) {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
-func residentMB(t *testing.T) float64 {
+// residentMB sums the processes' resident memory.
+func residentMB(t *testing.T, ids []int) float64 {
 	total := 0.0
-	for _, id := range nodeProcesses(t) {
-		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", id))
-		assert.NilError(t, err)
-		for line := range strings.Lines(string(status)) {
-			var kB float64
-			if _, err := fmt.Sscanf(line, "VmRSS: %f kB", &kB); err == nil {
-				total += kB / 1024
-			}
-		}
+	for _, id := range ids {
+		total += residentOf(t, id)
 	}
 	return total
 }
 
-func cpuTime(t *testing.T) time.Duration {
+// cpuTime sums the processor time that the processes have used.
+func cpuTime(t *testing.T, ids []int) time.Duration {
 	const tick = 10 * time.Millisecond
 	total := time.Duration(0)
-	for _, id := range nodeProcesses(t) {
+	for _, id := range ids {
 		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", id))
 		assert.NilError(t, err)
 		// The fields after the command's name, which may hold spaces.
--- a/e2e/hop_test.go
+++ b/e2e/hop_test.go
@@ -18,7 +18,10 @@
 	if os.Getenv("AUBURNGAP_MEASURE") == "" {
 		t.Skip("set AUBURNGAP_MEASURE=1 to measure")
 	}
-	w := newWorld(t, chainBundle())
+	b := chainBundle()
+	// The rate is not what is measured.
+	b.Workspaces[0].Rate, b.Workspaces[0].Burst = 50_000, 50_000
+	w := newWorld(t, b)
 	direct := w.addresses[vmName("g", 0)]
 	remote := w.node("f").Settings.CallerAddress
 	for _, rate := range []float64{100, 500, 2000} {
--- a/site/process.go
+++ b/site/process.go
@@ -84,3 +84,6 @@
 		return true
 	}
 }
+
+// ID returns the process ID.
+func (p *Process) ID() int { return p.command.Process.Pid }
