Watch callers only after 10 ms; look at idle connections without a goroutine

Cause looked for: the time that a hop adds. Each request started a goroutine at its entry and another for the idle connection to the backend server, and woke both by a deadline. Now the watch begins after 10 ms, and an idle connection is peeked at when it is taken.

--- a/backend/connections.go
+++ b/backend/connections.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"auburngap/httpconn"
@@ -27,8 +26,6 @@
 	reader *bufio.Reader
 	writer *bufio.Writer
 	used   time.Time
-	// broken is set when the server closes the connection while it is idle.
-	broken atomic.Bool
 }
 
 // connections holds the idle connections to one backend server, the one used
@@ -71,8 +68,8 @@
 		last := len(p.idle) - 1
 		c := p.idle[last]
 		p.idle = p.idle[:last]
-		c.conn.Unwatch()
-		if !c.broken.Load() && !c.conn.HasAhead() && time.Since(c.used) < idleTimeout {
+		// A server that has closed the connection meanwhile is noticed here.
+		if c.conn.IsIdle() && time.Since(c.used) < idleTimeout {
 			return c
 		}
 		_ = c.conn.Close()
@@ -89,8 +86,6 @@
 		return
 	}
 	c.used = time.Now()
-	// A server that closes an idle connection is noticed at once.
-	c.conn.Watch(func() { c.broken.Store(true) })
 	p.idle = append(p.idle, c)
 }
 
--- a/httpconn/conn.go
+++ b/httpconn/conn.go
@@ -11,14 +11,20 @@
 package httpconn
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
 // past is a deadline that wakes a waiting read.
 var past = time.Unix(1, 0)
 
+// watchDelay is the time after which a request is worth a watch: most have been
+// answered by then.
+const watchDelay = 10 * time.Millisecond
+
 // Listen wraps the connections of a listener in Conn.
 func Listen(listener net.Listener) net.Listener {
 	return &wrapped{Listener: listener}
@@ -42,9 +48,14 @@
 type Conn struct {
 	net.Conn
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// timer starts the watch; it is nil while there is none to come or running.
+	timer *time.Timer
+	// done is closed when the watch has ended; nil before it starts.
 	done     chan struct{}
 	stopping bool
+	// generation tells a timer that fired late from the one of the present watch.
+	generation uint64
 	// ahead is a byte of the next request that the watch has read.
 	ahead    byte
 	hasAhead bool
@@ -55,16 +66,31 @@
 	return &Conn{Conn: conn}
 }
 
-// Watch calls onClosed, from another goroutine, if the connection ends before Unwatch.
+// Watch calls onClosed, from another goroutine, if the connection ends before
+// Unwatch. It begins after watchDelay.
 func (c *Conn) Watch(onClosed func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.done != nil || c.hasAhead {
+	if c.timer != nil || c.hasAhead {
 		return
 	}
-	c.done = make(chan struct{})
 	c.stopping = false
-	go c.watch(onClosed, c.done)
+	c.generation++
+	generation := c.generation
+	c.timer = time.AfterFunc(watchDelay, func() { c.start(generation, onClosed) })
+}
+
+// start begins a watch that is still wanted.
+func (c *Conn) start(generation uint64, onClosed func()) {
+	c.mu.Lock()
+	if c.stopping || c.generation != generation {
+		c.mu.Unlock()
+		return
+	}
+	done := make(chan struct{})
+	c.done = done
+	c.mu.Unlock()
+	c.watch(onClosed, done)
 }
 
 func (c *Conn) watch(onClosed func(), done chan struct{}) {
@@ -86,9 +112,13 @@
 // Unwatch ends the watch, after which the connection can be read again.
 func (c *Conn) Unwatch() {
 	c.mu.Lock()
-	done := c.done
+	done, timer := c.done, c.timer
 	c.stopping = true
+	c.timer = nil
 	c.mu.Unlock()
+	if timer != nil {
+		timer.Stop()
+	}
 	if done == nil {
 		return
 	}
@@ -114,9 +144,23 @@
 	return c.Conn.Read(p)
 }
 
-// HasAhead tells whether the watch has read a byte that Read has not returned yet.
-func (c *Conn) HasAhead() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.hasAhead
+// IsIdle tells whether the connection is open and holds no byte to be read. It
+// does not wait.
+func (c *Conn) IsIdle() bool {
+	source, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
+		return false
+	}
+	idle := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, peeked := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		idle = errors.Is(peeked, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && idle
 }
