--- a/peer/call_server.go
+++ b/peer/call_server.go
@@ -22,8 +22,8 @@
 			return err
 		}
 		// The watch for the sender's cancellation ends with the next call's first byte.
-		if err := <-served.watch; err != nil {
-			return io.EOF
+		if more := <-served.watch; !more {
+			return nil
 		}
 		kind, payload, err := reader.Next()
 		if err != nil {
@@ -39,9 +39,9 @@
 // servedCall is one call on its stream.
 type servedCall struct {
 	body bodyReader
-	// watch gives the error of the watch for a cancellation, nil where the next
-	// call begins. The watch runs from the end of the body on.
-	watch chan error
+	// watch ends the watch for a cancellation, with true where the next call
+	// begins. The watch runs from the end of the body on.
+	watch chan bool
 	// whole is set when the stream can carry a further call.
 	whole bool
 }
@@ -103,13 +103,13 @@
 func (c *servedCall) watchForCancel(cancel context.CancelFunc) {
 	c.body.onBroken = cancel
 	c.body.onEnd = func() {
-		c.watch = make(chan error, 1)
+		c.watch = make(chan bool, 1)
 		go func() {
 			_, err := c.body.frames.buffer.Peek(1)
 			if err != nil {
 				cancel()
 			}
-			c.watch <- err
+			c.watch <- err == nil
 		}()
 	}
 	if c.body.ended {
