Take commitments sooner under a site's first bundle

Cause: the demo's first 13 s of commitments ended "unknown", 544 of 8,935 requests: an owner waits until no other layout of zones and shards can be in force any more, but under the site's first bundle there has been no other. Now that wait falls away there; the one for an owner without a predecessor's state, 2.2 s, stays.

TestFirstBundle covers both kinds of version; it was not run against the code before.

--- /dev/null
+++ b/commitment/first_test.go
@@ -0,0 +1,54 @@
+package commitment
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"auburngap/bundle"
+)
+
+// ownerOfAll owns every shard at epoch 1.
+type ownerOfAll struct{}
+
+func (ownerOfAll) Live(int, time.Duration) (uint64, bool) { return 1, true }
+
+// TestFirstBundle mints a key a little after an owner's start. Under a site's
+// first bundle no other layout can have homed it elsewhere; under a later one
+// that is not known.
+func TestFirstBundle(t *testing.T) {
+	cases := []struct {
+		name    string
+		version uint64
+		want    Verdict
+	}{{"first version", 1, Run}, {"later version", 2, Unknown}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.UnixMilli(1_800_000_000_000)
+			owner := NewOwner(OwnerConfig{
+				Zone:  "north",
+				Gate:  ownerOfAll{},
+				Clock: func() time.Duration { return time.Second },
+				Now:   func() time.Time { return now },
+			})
+			index := bundle.NewIndex(&bundle.Bundle{Version: c.version, Zones: []bundle.Zone{{Name: "north", Shards: 1}}})
+			owner.Apply(index)
+			owner.Gained(0, 1, nil)
+			now = now.Add(5 * time.Second)
+			r := Request{Key: keyMintedAt(now), Workspace: "school"}
+			ruling := owner.begin(t.Context(), 0, "north", NewLayout(index).Hash(), r)
+			assert.Equal(t, ruling.Verdict, c.want)
+		})
+	}
+}
+
+func keyMintedAt(minted time.Time) Key {
+	key := Key(uuid.MustParse("00000000-0000-7000-8000-000000000001"))
+	millis := minted.UnixMilli()
+	for i := range 6 {
+		key[i] = byte(millis >> (8 * (5 - i)))
+	}
+	return key
+}
--- a/commitment/owner.go
+++ b/commitment/owner.go
@@ -13,6 +13,9 @@
 	"auburngap/share"
 )
 
+// firstVersion is the number of a site's first bundle.
+const firstVersion = 1
+
 // OwnerConfig configures an Owner.
 type OwnerConfig struct {
 	// Zone is the VM's availability zone.
@@ -69,6 +72,10 @@
 	}
 	o.layout = layout
 	o.layoutSince = o.config.Now()
+	if index.Bundle.Version == firstVersion {
+		// No other layout has ever been in force.
+		o.layoutSince = time.Time{}
+	}
 	for _, d := range o.desks {
 		d.ledger.Apply(layout, o.layoutSince)
 	}
