--- a/node/shards.go
+++ b/node/shards.go
@@ -42,7 +42,6 @@
 	Platform  platform.Client
 	Pool      *peer.Pool
 	Directory *directory.Directory
-	Bundle    func() *bundle.Index
 	Logger    *zap.Logger
 	Metrics   tally.Scope
 	// Violated is told the name of an invariant that does not hold.
--- a/node/wire.go
+++ b/node/wire.go
@@ -88,7 +88,6 @@
 		Platform:  n.config.Platform,
 		Pool:      n.pool,
 		Directory: n.directory,
-		Bundle:    n.bundles.Index,
 		Logger:    n.logger,
 		Metrics:   n.metrics.Scope,
 		Violated:  n.violated,
