Say "not run" of a commitment's key, and record its end beside the backend server

Cause: TestCommitmentsUnderFailures failed now and then: a payment that was said not to have run had run. A trial that kept every word showed how: the payment runs, its entry node is killed, its repeats get "in progress", and the last one reaches a node that is starting and says "starting, not run". That is true of this request but not of the key, and callers go on with another key. Behind it: only the entry node recorded how a dispatch ended, so a killed one left the key in progress for a minute, then unknown for good; and a caller that left cancelled a payment half way.

Now a refusal of a commitment is confirmed by the key's home, which looks without permitting anything; a node that cannot ask says "unknown" to a request with an Idempotency-Key. The node beside the backend server runs a dispatched commitment to its end and records it.

TestCommitment now has three VMs in each zone: a zone of two cannot replace a killed owner (docs/SHARDS.md).

--- a/caller/admit.go
+++ b/caller/admit.go
@@ -16,6 +16,16 @@
 
 var bearer = []byte("Bearer ")
 
+// mayHaveRun tells whether an earlier request with the same idempotency key may
+// have run: the key's home is asked only for requests that were admitted. A
+// node that is starting does not know which routes are commitments.
+func mayHaveRun(ctx *fasthttp.RequestCtx, call *request.Call, refusal *request.Refusal) bool {
+	if len(ctx.Request.Header.Peek(httpconn.HeaderIdempotencyKey)) == 0 {
+		return false
+	}
+	return call.Commitment || refusal.Cause == request.CauseStarting
+}
+
 // admit makes the call of a request, or refuses it. The call is never nil, so
 // that refusals can be recorded with what is known of them.
 func (s *Server) admit(ctx *fasthttp.RequestCtx, now time.Time) (*request.Call, *request.Refusal) {
@@ -30,6 +40,7 @@
 		return call, request.Refuse(request.CauseNoRoute, request.NotRun, 0)
 	}
 	call.Service = route.Service
+	call.Commitment = route.Commitment
 	call.Context = request.Context{
 		Route:         route.Name,
 		Priority:      route.Priority,
@@ -150,7 +161,6 @@
 	call.Method = string(ctx.Method())
 	call.URI = bytes.Clone(ctx.Request.Header.RequestURI())
 	call.Headers = withoutKey(httpconn.RequestHeaders(&ctx.Request.Header))
-	call.Commitment = route.Commitment
 	call.Idempotent = !route.Commitment && (route.Idempotent || isSafe(call.Method))
 	call.IdempotencyKey = bytes.Clone(ctx.Request.Header.Peek(httpconn.HeaderIdempotencyKey))
 	return fillBody(ctx, call)
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -109,6 +109,9 @@
 	}
 	call, refusal := s.admit(ctx, start)
 	if refusal != nil {
+		if mayHaveRun(ctx, call, refusal) {
+			refusal.Outcome = request.Unknown
+		}
 		httpconn.WriteRefusal(ctx, refusal)
 		// The rest of a refused body is not read.
 		if ctx.IsBodyStream() {
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -34,6 +34,7 @@
 		Routes: []bundle.Route{
 			{Name: "orders", Prefix: "/orders", Service: "orders", Priority: 1, RetryBudget: 2},
 			{Name: "school", Prefix: "/school", Service: "orders", Workspaces: []string{"school"}},
+			{Name: "pay", Methods: []string{"POST"}, Prefix: "/pay", Service: "orders", Commitment: true},
 			{Name: "open", Prefix: "/open", Service: "catalogue", Open: true},
 		},
 	})
@@ -63,9 +64,15 @@
 
 // exchange sends raw bytes on one connection and returns all that comes back.
 func exchange(t testing.TB, next request.Handler, raw string) string {
+	t.Helper()
+	return exchangeWhile(t, next, nil, raw)
+}
+
+// exchangeWhile does so with a node that is ready or not.
+func exchangeWhile(t testing.TB, next request.Handler, ready func() bool, raw string) string {
 	t.Helper()
 	listener := fasthttputil.NewInmemoryListener()
-	server := New(Config{Bundle: testIndex, Next: next, Logger: zap.NewNop(), IdleTimeout: 50 * time.Millisecond})
+	server := New(Config{Bundle: testIndex, Ready: ready, Next: next, Logger: zap.NewNop(), IdleTimeout: 50 * time.Millisecond})
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(listener) }()
 	conn, err := listener.Dial()
@@ -134,6 +141,34 @@
 	}
 }
 
+// TestRefusedRepeat: a node that has not asked the home of an idempotency key
+// cannot say that a commitment has not run.
+func TestRefusedRepeat(t *testing.T) {
+	notReady := func() bool { return false }
+	cases := []struct {
+		name, path, key, idempotencyKey string
+		ready                           func() bool
+		cause, outcome                  string
+	}{
+		{"withdrawn key", "/pay", "withdrawn-key-01234", "k1", nil, "unknownKey", "unknown"},
+		{"withdrawn key, nothing to repeat", "/pay", "withdrawn-key-01234", "", nil, "unknownKey", "notRun"},
+		{"no commitment", "/orders", "withdrawn-key-01234", "k1", nil, "unknownKey", "notRun"},
+		{"starting", "/pay", schoolKey, "k1", notReady, "starting", "unknown"},
+		{"starting, nothing to repeat", "/orders", schoolKey, "", notReady, "starting", "notRun"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			raw := "POST " + c.path + " HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + c.key + "\r\n"
+			if c.idempotencyKey != "" {
+				raw += "Idempotency-Key: " + c.idempotencyKey + "\r\n"
+			}
+			h := head(exchangeWhile(t, &seen{}, c.ready, raw+"\r\n"))
+			assert.Equal(t, string(h.Peek("Auburngap-Cause")), c.cause)
+			assert.Equal(t, string(h.Peek("Auburngap-Outcome")), c.outcome)
+		})
+	}
+}
+
 // TestForgedHeaders shows that nothing a caller sends is taken for the
 // system's own words, and that the key goes no further.
 func TestForgedHeaders(t *testing.T) {
--- a/commitment/client.go
+++ b/commitment/client.go
@@ -70,7 +70,7 @@
 func (c *Client) Begin(ctx context.Context, r Request) Ruling {
 	ambiguous, began := false, time.Now()
 	for {
-		ruling, ok := c.try(ctx, r)
+		ruling, ok := c.try(ctx, r, false)
 		ambiguous = ambiguous || !ok
 		if final(ruling, time.Since(began)) {
 			return ruling
@@ -100,31 +100,42 @@
 
 // try sends one Begin; false means that no answer came, and the owner may have
 // permitted a dispatch all the same.
-func (c *Client) try(ctx context.Context, r Request) (Ruling, bool) {
-	unavailable := Ruling{Verdict: Unavailable, RetryAfter: progressRetry}
+func (c *Client) try(ctx context.Context, r Request, look bool) (Ruling, bool) {
 	layout := c.Layout()
 	home, ok := layout.Home(r.Key)
 	if !ok {
-		return unavailable, true
+		return unavailable(), true
 	}
+	message := requestToProto(r, home, layout)
+	message.Look = look
 	asked := time.Now()
-	answer, err := c.config.Peers.Begin(ctx, requestToProto(r, home, layout))
+	answer, err := c.config.Peers.Begin(ctx, message)
 	if err != nil {
-		return unavailable, false
+		return unavailable(), false
 	}
 	ruling := rulingFromProto(answer)
 	if ruling.Verdict == NotRun && time.Since(asked) > notRunLife {
-		return unavailable, true
+		return unavailable(), true
 	}
 	return ruling, true
 }
 
+// Look asks the key's home once what is known of the key, and permits nothing.
+// The verdict is never Run.
+func (c *Client) Look(ctx context.Context, r Request) Ruling {
+	ruling, _ := c.try(ctx, r, true)
+	if ruling.Verdict == Run {
+		return unavailable()
+	}
+	return ruling
+}
+
 // abandon gives back a permission whose answer was lost, so that the key does
 // not stay in progress.
 func (c *Client) abandon(r Request) {
 	ctx, cancel := context.WithTimeout(context.Background(), finishPatience)
 	defer cancel()
-	if ruling, ok := c.try(ctx, r); ok && ruling.Verdict == Run {
+	if ruling, ok := c.try(ctx, r, false); ok && ruling.Verdict == Run {
 		c.Finish(ctx, ruling.Permission, request.NotRun, nil)
 	}
 }
@@ -147,3 +158,11 @@
 		}
 	}
 }
+
+// GiveUp records at the deadline that a dispatch has no known outcome, unless
+// the node beside the backend server has recorded one by then.
+func (c *Client) GiveUp(p Permission, deadline time.Time) {
+	time.AfterFunc(time.Until(deadline), func() {
+		c.Finish(context.Background(), p, request.Unknown, nil)
+	})
+}
--- a/commitment/commitment_test.go
+++ b/commitment/commitment_test.go
@@ -39,6 +39,11 @@
 			w.pay(w.payments[max(0, n-1-w.choose.Intn(8))])
 		}
 	}},
+	{"look", 10, func(w *world) {
+		if n := len(w.payments); n > 0 {
+			w.look(w.payments[max(0, n-1-w.choose.Intn(8))])
+		}
+	}},
 	{"begin again", 4, func(w *world) {
 		if n := len(w.attempts); n > 0 {
 			if a := w.attempts[max(0, n-1-w.choose.Intn(5))]; !a.ended && !a.dispatched {
@@ -187,18 +192,24 @@
 }
 
 func TestCommitmentsRunAtMostOnceInLongRuns(t *testing.T) {
-	verdicts, runs := make(map[Verdict]int), 0
+	verdicts, looks, runs := make(map[Verdict]int), make(map[Verdict]int), 0
 	for seed := range uint64(200) {
 		w, err := runOnce(seeded(seed), noFault, 2000)
 		assert.NilError(t, err, "seed %d, step %d", seed, len(w.steps))
 		for verdict, n := range w.verdicts {
 			verdicts[verdict] += n
 		}
+		for verdict, n := range w.looks {
+			looks[verdict] += n
+		}
 		for _, p := range w.payments {
 			runs += p.runs
 		}
 	}
-	t.Logf("%d runs, verdicts %v", runs, verdicts)
+	t.Logf("%d runs, verdicts %v, looks %v", runs, verdicts, looks)
+	for _, verdict := range []Verdict{Unknown, Replay, InProgress, NotRun} {
+		assert.Assert(t, looks[verdict] > 0, "look: %s", verdict)
+	}
 	for verdict := Unknown; verdict <= Unavailable; verdict++ {
 		assert.Assert(t, verdicts[verdict] > 0 || verdict == Conflict || verdict == NotRun, "%s", verdict)
 	}
--- a/commitment/first_test.go
+++ b/commitment/first_test.go
@@ -38,8 +38,9 @@
 			owner.Gained(0, 1, nil)
 			now = now.Add(5 * time.Second)
 			r := Request{Key: keyMintedAt(now), Workspace: "school"}
-			ruling := owner.begin(t.Context(), 0, "north", NewLayout(index).Hash(), r)
-			assert.Equal(t, ruling.Verdict, c.want)
+			layout := NewLayout(index)
+			answer := owner.HandleBegin(t.Context(), requestToProto(r, Home{Zone: "north"}, layout))
+			assert.Equal(t, rulingFromProto(answer).Verdict, c.want)
 		})
 	}
 }
--- a/commitment/ledger.go
+++ b/commitment/ledger.go
@@ -115,7 +115,7 @@
 func (l *Ledger) Begin(r Request, now time.Time) Ruling {
 	l.prune(now)
 	if home, ok := l.layout.Home(r.Key); !ok || home != l.config.Home {
-		return Ruling{Verdict: Unavailable, RetryAfter: progressRetry}
+		return unavailable()
 	}
 	known, ok := l.records[r.Key]
 	if ok {
@@ -129,6 +129,22 @@
 	return l.permit(fresh, r, now)
 }
 
+// Look tells what is known of a request's key and records nothing: NotRun where
+// the key has not run and no dispatch is under way, else what Begin would say.
+func (l *Ledger) Look(r Request, now time.Time) Ruling {
+	l.prune(now)
+	if home, ok := l.layout.Home(r.Key); !ok || home != l.config.Home {
+		return unavailable()
+	}
+	if known, ok := l.records[r.Key]; ok {
+		return l.lookKnown(known, r, now)
+	}
+	if ruling, ok := l.refuseFresh(r.Key, now); !ok {
+		return ruling
+	}
+	return Ruling{Verdict: NotRun, RetryAfter: progressRetry}
+}
+
 // refuseFresh decides about a key without a record that must not run. A key
 // minted just a little too far ahead may have been accepted by another owner,
 // whose clock differs.
@@ -138,7 +154,7 @@
 	case minted.After(latest.Add(2 * l.config.Terms.ClockSkew)):
 		return Ruling{Verdict: BadKey}, false
 	case minted.After(latest):
-		return Ruling{Verdict: Unavailable, RetryAfter: progressRetry}, false
+		return unavailable(), false
 	case !l.provenFresh(key, minted):
 		return Ruling{Verdict: Unknown}, false
 	case len(l.records) >= l.config.Terms.Records:
@@ -169,19 +185,29 @@
 }
 
 func (l *Ledger) beginKnown(known *record, r Request, now time.Time) Ruling {
+	ruling := l.lookKnown(known, r, now)
+	switch {
+	case ruling.Verdict == NotRun:
+		return l.permit(known, r, now)
+	case ruling.Verdict == InProgress && known.request == r.ID:
+		return l.renew(known, r.Key, now)
+	default:
+		return ruling
+	}
+}
+
+// lookKnown tells what is known of a key that has a record.
+func (l *Ledger) lookKnown(known *record, r Request, now time.Time) Ruling {
 	if known.workspace != r.Workspace || known.fingerprint != r.Fingerprint {
 		return Ruling{Verdict: Conflict}
 	}
 	l.giveUp(known, now)
 	switch known.phase {
 	case phaseReleased:
-		return l.permit(known, r, now)
+		return Ruling{Verdict: NotRun, RetryAfter: progressRetry}
 	case phaseDone:
 		return Ruling{Verdict: Replay, Answer: known.answer, AnswerDropped: known.dropped, Journaled: known.journaled}
 	case phaseRunning:
-		if known.request == r.ID {
-			return l.renew(known, r.Key, now)
-		}
 		return Ruling{Verdict: InProgress, RetryAfter: progressRetry}
 	default:
 		return Ruling{Verdict: Unknown}
--- a/commitment/owner.go
+++ b/commitment/owner.go
@@ -140,36 +140,52 @@
 	if err != nil {
 		return rulingToProto(Ruling{Verdict: BadKey})
 	}
-	return rulingToProto(o.begin(ctx, int(message.GetShard()), message.GetAvailabilityZone(), message.GetLayout(), r))
-}
-
-func (o *Owner) begin(ctx context.Context, shard int, zone string, layout uint64, r Request) Ruling {
-	unavailable := Ruling{Verdict: Unavailable, RetryAfter: progressRetry}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	now := o.config.Now()
-	d := o.live(shard)
-	if d == nil || zone != o.config.Zone || layout != o.layout.hash {
-		return unavailable
+	d := o.asked(message)
+	if d == nil {
+		return rulingToProto(unavailable())
+	}
+	if message.GetLook() {
+		return rulingToProto(d.settled(d.ledger.Look(r, o.config.Now())))
 	}
-	ruling := d.ledger.Begin(r, now)
+	return rulingToProto(o.begin(ctx, d, r))
+}
+
+// asked returns the desk that a Begin is for, nil where it is not owned or the
+// sender goes by another layout.
+func (o *Owner) asked(message *peerpb.Begin) *desk {
+	if message.GetAvailabilityZone() != o.config.Zone || message.GetLayout() != o.layout.hash {
+		return nil
+	}
+	return o.live(int(message.GetShard()))
+}
+
+// settled holds back what the predecessor's journal may still correct.
+func (d *desk) settled(ruling Ruling) Ruling {
 	if ruling.Verdict == Unknown && d.writer != nil && !d.writer.loaded {
-		// The predecessor's journal may know more.
-		return unavailable
+		return unavailable()
 	}
+	return ruling
+}
+
+// begin decides about a request and records the permission that it may get.
+func (o *Owner) begin(ctx context.Context, d *desk, r Request) Ruling {
+	ruling := d.settled(d.ledger.Begin(r, o.config.Now()))
 	if ruling.Verdict != Run {
 		return ruling
 	}
+	shard := ruling.Permission.Home.Shard
 	recorded := o.record(ctx, d, ruling.Permission)
 	if o.live(shard) != d {
-		return unavailable
+		return unavailable()
 	}
 	if !recorded {
 		return refuseUnrecorded(ctx, d, ruling.Permission)
 	}
 	known := d.ledger.records[r.Key]
 	if known == nil || known.attempt != ruling.Permission.Attempt || known.phase != phaseRunning {
-		return unavailable
+		return unavailable()
 	}
 	ruling.Journaled = known.journaled
 	return ruling
@@ -179,7 +195,7 @@
 // not been handed out, unless the same request asked twice at once.
 func refuseUnrecorded(ctx context.Context, d *desk, p Permission) Ruling {
 	if !d.ledger.Release(p) || ctx.Err() != nil {
-		return Ruling{Verdict: Unavailable, RetryAfter: progressRetry}
+		return unavailable()
 	}
 	return Ruling{Verdict: NotRun, RetryAfter: progressRetry}
 }
--- a/commitment/verdict.go
+++ b/commitment/verdict.go
@@ -79,6 +79,11 @@
 	Journaled bool
 }
 
+// unavailable is the ruling where nothing can be decided.
+func unavailable() Ruling {
+	return Ruling{Verdict: Unavailable, RetryAfter: progressRetry}
+}
+
 // Refusal returns the error with which a request ends that neither runs nor is
 // answered by a replay. It never says "not run" of a key that may have run.
 func (r Ruling) Refusal() *request.Refusal {
--- a/commitment/world_test.go
+++ b/commitment/world_test.go
@@ -82,6 +82,7 @@
 	messages []func()
 	ids      uint64
 	verdicts map[Verdict]int
+	looks    map[Verdict]int
 	steps    []string
 	broken   error
 }
@@ -94,6 +95,7 @@
 			LayoutDelay: 3 * time.Second, PermissionLife: time.Second, RunTimeout: 4 * time.Second,
 		}.withDefaults(),
 		verdicts: make(map[Verdict]int),
+		looks:    make(map[Verdict]int),
 	}
 	w.layouts = []Layout{testLayout(1+choose.Intn(2), 1)}
 	for zone := range 3 {
@@ -240,6 +242,30 @@
 	return ruling
 }
 
+// look asks what is known of a payment whose repeat was refused elsewhere.
+func (w *world) look(p *payment) {
+	layout := w.layouts[w.entries[w.choose.Intn(len(w.entries))].layout]
+	home, ok := layout.Home(p.key)
+	if !ok {
+		return
+	}
+	h := w.holder(home)
+	if h.ledger == nil || w.layouts[h.vm.layout].Hash() != layout.Hash() {
+		return
+	}
+	r := Request{Key: p.key, Workspace: "school", Fingerprint: "f"}
+	ruling := h.ledger.Look(r, w.read(h.vm))
+	w.looks[ruling.Verdict]++
+	switch {
+	case ruling.Verdict == Run:
+		w.fail("key %s may run without a record", p.key)
+	case ruling.Verdict == NotRun && p.runs > 0:
+		w.fail("key %s is said not to have run", p.key)
+	case ruling.Verdict == Replay && string(ruling.Answer) != p.answer:
+		w.fail("replayed %q, first answer %q", ruling.Answer, p.answer)
+	}
+}
+
 // ruled is the entry node's reaction to a ruling.
 func (w *world) ruled(a *attempt, ruling Ruling) {
 	if w.over(a) {
@@ -260,7 +286,7 @@
 	}
 	a.dispatched = true
 	if w.choose.Intn(15) == 0 {
-		w.finish(a, ruling.Permission, request.NotRun, "")
+		w.finish(a, ruling.Permission)
 		return
 	}
 	w.dispatch(a, ruling.Permission)
@@ -277,7 +303,7 @@
 		}
 		switch fence.Admit(p, w.read(w.clocks[i])) {
 		case Stale:
-			w.send(func() { w.finish(a, p, request.NotRun, "") })
+			w.send(func() { w.finish(a, p) })
 		case Admitted:
 			w.runAt(a, p)
 		}
@@ -288,7 +314,7 @@
 	kind := w.choose.Intn(10)
 	if kind == 0 {
 		// The backend server sheds the request.
-		w.send(func() { w.finish(a, p, request.NotRun, "") })
+		w.send(func() { w.finish(a, p) })
 		return
 	}
 	if a.claimed {
@@ -304,19 +330,22 @@
 	if kind == 1 {
 		return // The backend server or its node crashes.
 	}
-	answer := a.payment.answer
-	w.send(func() { w.finish(a, p, request.Answered, answer) })
+	w.record(p, request.Answered, a.payment.answer)
+	w.send(func() { a.ended = true })
 }
 
-// finish ends an attempt at the entry node and tells the owner.
-func (w *world) finish(a *attempt, p Permission, outcome request.Outcome, answer string) {
+// finish ends an attempt that has not run at the entry node and tells the owner.
+func (w *world) finish(a *attempt, p Permission) {
 	if w.over(a) {
 		return
 	}
 	a.ended = true
-	if outcome == request.NotRun {
-		w.claimNotRun(a)
-	}
+	w.claimNotRun(a)
+	w.record(p, request.NotRun, "")
+}
+
+// record tells the owner how a dispatch ended, now and then twice.
+func (w *world) record(p Permission, outcome request.Outcome, answer string) {
 	report := func() {
 		h := w.holder(p.Home)
 		if h.ledger == nil {
--- a/e2e/commitment_test.go
+++ b/e2e/commitment_test.go
@@ -1,7 +1,9 @@
 package e2e
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/netip"
 	"sync"
 	"testing"
@@ -19,6 +21,8 @@
 		Name: "pay", Methods: []string{"POST"}, Prefix: "/pay", Service: "g",
 		Commitment: true, Timeout: bundle.Duration(4 * time.Second), RetryBudget: 3,
 	})
+	// The parish is soon over its rate.
+	b.Workspaces[1].Rate, b.Workspaces[1].Burst = 5, 20
 	return b
 }
 
@@ -45,11 +49,16 @@
 
 // pay sends one payment through a node.
 func (w *world) pay(address netip.AddrPort, key, body string) reply {
-	return w.send(address, "POST", "/pay", schoolKey, body, "Idempotency-Key", key)
+	return w.payAs(schoolKey, address, key, body)
+}
+
+func (w *world) payAs(workspaceKey string, address netip.AddrPort, key, body string) reply {
+	return w.send(address, "POST", "/pay", workspaceKey, body, "Idempotency-Key", key)
 }
 
 func TestCommitment(t *testing.T) {
-	w := newReplicatedWorld(t, payBundle(), 2)
+	// A zone of three VMs replaces a killed owner.
+	w := newReplicatedWorld(t, payBundle(), 3)
 	nodes := w.callerAddresses("")
 	w.waitUntilPaid()
 
@@ -79,6 +88,38 @@
 		group.Wait()
 		assert.Equal(t, w.runs(key), 1)
 	})
+	t.Run("a repeat over the workspace's rate gets the first answer", func(t *testing.T) {
+		key := mintKey()
+		first := w.payAs(parishKey, nodes[0], key, "one mug")
+		assert.Equal(t, first.status, 200, first.cause)
+		over := 0
+		for range 100 {
+			if fresh := w.payAs(parishKey, nodes[0], mintKey(), "one mug"); fresh.cause == "rate" {
+				assert.Equal(t, fresh.outcome, "notRun")
+				over++
+			}
+		}
+		assert.Assert(t, over > 50, "%d over the rate", over)
+		for range 10 {
+			repeat := w.payAs(parishKey, nodes[0], key, "one mug")
+			assert.Equal(t, repeat.status, 200, repeat.cause)
+			assert.Equal(t, repeat.body, first.body)
+		}
+		assert.Equal(t, w.runs(key), 1)
+	})
+	t.Run("the caller leaves while the payment runs", func(t *testing.T) {
+		w.setWork(500 * time.Millisecond)
+		defer w.setWork(0)
+		key := mintKey()
+		conn, err := net.Dial("tcp", nodes[0].String())
+		assert.NilError(t, err)
+		_, err = fmt.Fprintf(conn, "POST /pay HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\n"+
+			"Idempotency-Key: %s\r\nContent-Length: 7\r\n\r\none mug", schoolKey, key)
+		assert.NilError(t, err)
+		w.waitFor("the payment runs", func() bool { return w.runs(key) == 1 })
+		assert.NilError(t, conn.Close())
+		w.expectFirstAnswer(nodes[1], key)
+	})
 	t.Run("no key", func(t *testing.T) {
 		got := w.send(nodes[0], "POST", "/pay", schoolKey, "one mug")
 		assert.Equal(t, got.status, 400)
@@ -96,6 +137,39 @@
 		assert.Equal(t, got.outcome, "unknown")
 		assert.Equal(t, w.runs(old.String()), 0)
 	})
+	t.Run("the entry node is killed while the payment runs", func(t *testing.T) {
+		w.setWork(500 * time.Millisecond)
+		defer w.setWork(0)
+		key := mintKey()
+		var group sync.WaitGroup
+		group.Go(func() { w.pay(nodes[0], key, "one mug") })
+		w.waitFor("the payment runs", func() bool { return w.runs(key) == 1 })
+		w.site.Node(vmName("a", 0)).Kill()
+		group.Wait()
+		w.expectFirstAnswer(nodes[1], key)
+	})
+}
+
+// expectFirstAnswer repeats a payment that runs until its answer is known; on
+// the way it may be in progress, or its home not be reached.
+func (w *world) expectFirstAnswer(node netip.AddrPort, key string) {
+	w.t.Helper()
+	w.waitFor("the first answer", func() bool {
+		got := w.pay(node, key, "one mug")
+		if got.status != 200 {
+			assert.Equal(w.t, got.outcome, "unknown", got.cause)
+			assert.Assert(w.t, got.cause != "outcomeUnknown")
+		}
+		return got.status == 200
+	})
+	assert.Equal(w.t, w.runs(key), 1)
+}
+
+// setWork changes how long the backend servers take for one request.
+func (w *world) setWork(d time.Duration) {
+	for _, server := range w.servers {
+		server.SetWork(d)
+	}
 }
 
 // payer sends payments one after the other, each again through other nodes
--- a/node/commitments.go
+++ b/node/commitments.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
-	"errors"
 	"io"
 
 	"google.golang.org/protobuf/proto"
@@ -15,15 +14,10 @@
 	"auburngap/request"
 )
 
-const (
-	// keptBodyBytes is the longest body that is kept for repeats; head and
-	// encoding take the rest of what an owner keeps.
-	keptBodyBytes = 48 << 10
-	// replayedHeader marks the answer of an earlier run.
-	replayedHeader = "Idempotency-Replayed"
-)
+// replayedHeader marks the answer of an earlier run.
+const replayedHeader = "Idempotency-Replayed"
 
-// commitments sees that a request which may not be repeated runs at most once.
+// commitments asks the home of a commitment's key before the request goes on.
 type commitments struct {
 	client *commitment.Client
 	next   request.Handler
@@ -85,56 +79,24 @@
 	return string(hash.Sum(nil)), nil
 }
 
-// run dispatches a commitment once and records how it ended.
+// run sends a commitment to its one dispatch. How that ended is recorded by the
+// node beside the backend server, also where this node or the caller is gone by
+// then; what never got there is recorded here.
 func (c *commitments) run(ctx context.Context, call *request.Call, permission commitment.Permission) (*request.Answer, error) {
 	call.Permission = permission.ToProto()
 	answer, err := c.next.Serve(ctx, call)
-	if err != nil {
-		refusal := request.AsRefusal(err)
-		c.client.Finish(ctx, permission, refusal.Outcome, nil)
-		return nil, refusal
-	}
-	body, whole, err := readKept(answer.Body)
-	if err != nil {
-		c.client.Finish(ctx, permission, request.Unknown, nil)
-		return nil, errors.Join(request.Refuse(request.CauseBackendFailed, request.Unknown, 0), answer.Body.Close())
-	}
-	kept, err := encodeAnswer(answer, body, whole)
-	if err != nil {
-		return nil, errors.Join(request.Refuse(request.CauseBackendFailed, request.Unknown, 0), answer.Body.Close())
+	if err == nil {
+		return answer, nil
 	}
-	c.client.Finish(ctx, permission, request.Answered, kept)
-	answer.Body = &prefixed{Reader: io.MultiReader(bytes.NewReader(body), answer.Body), closer: answer.Body}
-	return answer, nil
-}
-
-// readKept reads what is kept of a body, and tells whether that is all of it.
-func readKept(body io.Reader) ([]byte, bool, error) {
-	data, err := io.ReadAll(io.LimitReader(body, keptBodyBytes+1))
-	return data, len(data) <= keptBodyBytes, err
-}
-
-// encodeAnswer returns an answer as the owner keeps it: one that is not whole
-// is made too long to be kept, so that a repeat learns that it ran.
-func encodeAnswer(answer *request.Answer, body []byte, whole bool) ([]byte, error) {
-	if !whole {
-		return make([]byte, maxKeptBytes+1), nil
+	refusal := request.AsRefusal(err)
+	if refusal.Outcome == request.NotRun {
+		c.client.Finish(ctx, permission, request.NotRun, nil)
+	} else {
+		c.client.GiveUp(permission, call.Context.Deadline)
 	}
-	return proto.Marshal(&peerpb.StoredAnswer{Answer: peer.AnswerToMessage(answer), Body: body})
+	return nil, refusal
 }
 
-// maxKeptBytes is the longest answer that owners keep.
-const maxKeptBytes = 64 << 10
-
-// prefixed is a body whose beginning has been read already.
-type prefixed struct {
-	io.Reader
-	closer io.Closer
-}
-
-// Close implements io.Closer.
-func (p *prefixed) Close() error { return p.closer.Close() }
-
 // replay answers with what the first run was answered.
 func replay(ruling commitment.Ruling) (*request.Answer, error) {
 	if ruling.AnswerDropped {
--- /dev/null
+++ b/node/dispatcher.go
@@ -0,0 +1,115 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"auburngap/commitment"
+	"auburngap/peer"
+	"auburngap/peer/peerpb"
+	"auburngap/request"
+)
+
+const (
+	// keptBodyBytes is the longest body that is kept for repeats; head and
+	// encoding take the rest of what an owner keeps.
+	keptBodyBytes = 48 << 10
+	// maxKeptBytes is the longest answer that owners keep.
+	maxKeptBytes = 64 << 10
+	// recordPatience is how long an answer waits until its record is confirmed;
+	// the record is sent on after that.
+	recordPatience = 500 * time.Millisecond
+)
+
+// dispatcher hands calls to the backend server of this VM. It runs commitments
+// to their end, also where nobody waits for the answer any more, and records
+// at the key's home how they ended, so that a repeat gets the answer.
+type dispatcher struct {
+	client *commitment.Client
+	next   request.Handler
+}
+
+// Serve implements request.Handler.
+func (d *dispatcher) Serve(ctx context.Context, call *request.Call) (*request.Answer, error) {
+	if !call.Commitment {
+		return d.next.Serve(ctx, call)
+	}
+	permission, err := commitment.PermissionFromProto(call.Permission)
+	if err != nil {
+		return nil, request.RefuseUnsent(call, request.CauseIdempotencyKey, 0)
+	}
+	running, end := context.WithDeadline(context.WithoutCancel(ctx), call.Context.Deadline)
+	answer, err := d.next.Serve(running, call)
+	if err != nil {
+		end()
+		refusal := request.AsRefusal(err)
+		d.record(permission, refusal.Outcome, nil)
+		return nil, refusal
+	}
+	answer, err = d.keep(permission, answer)
+	if err != nil {
+		end()
+		return nil, err
+	}
+	answer.Body = &onClose{ReadCloser: answer.Body, closed: end}
+	return answer, nil
+}
+
+// keep records an answer and returns it to be passed on.
+func (d *dispatcher) keep(permission commitment.Permission, answer *request.Answer) (*request.Answer, error) {
+	body, whole, err := readKept(answer.Body)
+	if err != nil {
+		d.record(permission, request.Unknown, nil)
+		return nil, errors.Join(request.Refuse(request.CauseBackendFailed, request.Unknown, 0), answer.Body.Close())
+	}
+	kept, err := encodeAnswer(answer, body, whole)
+	if err != nil {
+		d.record(permission, request.Unknown, nil)
+		return nil, errors.Join(request.Refuse(request.CauseBackendFailed, request.Unknown, 0), answer.Body.Close())
+	}
+	d.record(permission, request.Answered, kept)
+	answer.Body = &prefixed{Reader: io.MultiReader(bytes.NewReader(body), answer.Body), closer: answer.Body}
+	return answer, nil
+}
+
+// record tells the key's home how a dispatch ended.
+func (d *dispatcher) record(permission commitment.Permission, outcome request.Outcome, kept []byte) {
+	recorded := make(chan struct{})
+	go func() {
+		d.client.Finish(context.Background(), permission, outcome, kept)
+		close(recorded)
+	}()
+	select {
+	case <-recorded:
+	case <-time.After(recordPatience):
+	}
+}
+
+// readKept reads what is kept of a body, and tells whether that is all of it.
+func readKept(body io.Reader) ([]byte, bool, error) {
+	data, err := io.ReadAll(io.LimitReader(body, keptBodyBytes+1))
+	return data, len(data) <= keptBodyBytes, err
+}
+
+// encodeAnswer returns an answer as the owner keeps it: one that is not whole
+// is made too long to be kept, so that a repeat learns that it ran.
+func encodeAnswer(answer *request.Answer, body []byte, whole bool) ([]byte, error) {
+	if !whole {
+		return make([]byte, maxKeptBytes+1), nil
+	}
+	return proto.Marshal(&peerpb.StoredAnswer{Answer: peer.AnswerToMessage(answer), Body: body})
+}
+
+// prefixed is a body whose beginning has been read already.
+type prefixed struct {
+	io.Reader
+	closer io.Closer
+}
+
+// Close implements io.Closer.
+func (p *prefixed) Close() error { return p.closer.Close() }
--- a/node/wire.go
+++ b/node/wire.go
@@ -66,7 +66,6 @@
 	s := n.config.Settings
 	n.backendClient = backend.NewClient(backend.ClientConfig{Tokens: n.tokens, Announced: n.announced.Current})
 	n.local = &localHandler{
-		next:      n.backendClient,
 		announced: n.announced,
 		guard:     newGuard(n.bundles.Index),
 		fence:     commitment.NewFence(commitment.Terms{}),
@@ -92,6 +91,7 @@
 		Metrics:   n.metrics.Scope,
 		Violated:  n.violated,
 	})
+	n.local.next = &dispatcher{client: n.shards.commitments, next: n.backendClient}
 	n.readiness = newReadiness(n)
 	n.local.ready = n.readiness.done
 }
@@ -101,13 +101,14 @@
 	s := n.config.Settings
 	commitments := &commitments{client: n.shards.commitments, next: n.router}
 	entry := &entry{bundle: n.bundles.Index, rates: n.shards.rates, gate: n.gate, next: commitments}
+	confirmed := newConfirmer(n.shards.commitments, entry)
 	n.recorder = report.NewRecorder(report.Config{VM: s.VM, Zone: s.AvailabilityZone})
 	n.callers = caller.New(caller.Config{
 		Record:      n.record,
 		Ready:       n.local.isReady,
 		Stale:       n.isStale,
 		Bundle:      n.bundles.Index,
-		Next:        entry,
+		Next:        confirmed,
 		Logger:      n.logger,
 		IdleTimeout: time.Duration(s.IdleTimeout),
 	})
