Leave "not run" to the entry node, which may use a permission elsewhere

Cause: the node beside the backend server recorded every end of a dispatch, "not run" as well. The entry node may take the same permission to another server then, while the home counts the key as released: a repeat would run beside it. Found by reading; the ledger's random walk did not know calls that go on to another server.

Ruled out: numbering an attempt for each server that is tried, which costs a message to the home for each.

Before: planted fault not expressible. Tests of dispatcher and confirmer with a fake home (go test ./node).

--- a/commitment/commitment_test.go
+++ b/commitment/commitment_test.go
@@ -231,6 +231,7 @@
 		{"layout is trusted at once", faultLayoutTrusted, 0},
 		{"record is forgotten within the window", faultForgetEarly, 0},
 		{"key is called bad that another owner accepted", faultBadKeyTooSoon, 0},
+		{"refusal is recorded that may go to another server", faultRefusalRecordedBesideServer, 0},
 	}
 	for _, c := range faults {
 		t.Run(c.name, func(t *testing.T) {
--- a/commitment/world_test.go
+++ b/commitment/world_test.go
@@ -29,6 +29,7 @@
 	faultLayoutTrusted
 	faultForgetEarly
 	faultBadKeyTooSoon
+	faultRefusalRecordedBesideServer
 )
 
 // actor is a VM with its own wall clock and layout.
@@ -295,7 +296,7 @@
 // dispatch sends to a backend server's node, where the run may be refused,
 // crash or lose its answer.
 func (w *world) dispatch(a *attempt, p Permission) {
-	i := w.choose.Intn(len(w.fences))
+	i, heard := w.choose.Intn(len(w.fences)), new(bool)
 	w.send(func() {
 		fence := w.fences[i]
 		if w.fault == faultFenceAllowsRepeats {
@@ -303,18 +304,37 @@
 		}
 		switch fence.Admit(p, w.read(w.clocks[i])) {
 		case Stale:
-			w.send(func() { w.finish(a, p) })
+			w.refused(a, p, heard)
 		case Admitted:
-			w.runAt(a, p)
+			w.runAt(a, p, heard)
 		}
 	})
 }
 
-func (w *world) runAt(a *attempt, p Permission) {
+// refused tells the entry node that a dispatch has not run; it ends the
+// attempt or goes to another backend server with the same permission.
+func (w *world) refused(a *attempt, p Permission, heard *bool) {
+	if w.fault == faultRefusalRecordedBesideServer {
+		w.record(p, request.NotRun, "")
+	}
+	w.send(func() {
+		if *heard {
+			return // A call ends with its one answer.
+		}
+		*heard = true
+		if w.choose.Intn(2) == 0 && !w.over(a) {
+			w.dispatch(a, p)
+			return
+		}
+		w.finish(a, p)
+	})
+}
+
+func (w *world) runAt(a *attempt, p Permission, heard *bool) {
 	kind := w.choose.Intn(10)
 	if kind == 0 {
 		// The backend server sheds the request.
-		w.send(func() { w.finish(a, p) })
+		w.refused(a, p, heard)
 		return
 	}
 	if a.claimed {
--- /dev/null
+++ b/node/commitments_test.go
@@ -0,0 +1,163 @@
+package node
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"auburngap/bundle"
+	"auburngap/commitment"
+	"auburngap/peer/peerpb"
+	"auburngap/request"
+)
+
+// fakeHome is the home of every key.
+type fakeHome struct {
+	verdict  commitment.Verdict
+	answer   []byte
+	finished []request.Outcome
+	err      error
+}
+
+func (h *fakeHome) Begin(_ context.Context, begin *peerpb.Begin) (*peerpb.BeginAnswer, error) {
+	if h.err != nil || !begin.GetLook() {
+		return nil, errNoOwner.New("test")
+	}
+	return &peerpb.BeginAnswer{Verdict: peerpb.CommitmentVerdict(h.verdict), Answer: h.answer}, nil
+}
+
+func (h *fakeHome) Finish(_ context.Context, finish *peerpb.Finish) (*peerpb.FinishAnswer, error) {
+	h.finished = append(h.finished, request.Outcome(finish.GetOutcome()))
+	h.answer = finish.GetAnswer()
+	return &peerpb.FinishAnswer{Recorded: true}, nil
+}
+
+func clientOf(home *fakeHome) *commitment.Client {
+	client := commitment.NewClient(commitment.ClientConfig{Peers: home})
+	client.Apply(bundle.NewIndex(&bundle.Bundle{Version: 1, Zones: []bundle.Zone{{Name: "palermo", Shards: 1}}}))
+	return client
+}
+
+// handlerFunc is a request.Handler.
+type handlerFunc func(ctx context.Context, call *request.Call) (*request.Answer, error)
+
+func (f handlerFunc) Serve(ctx context.Context, call *request.Call) (*request.Answer, error) {
+	return f(ctx, call)
+}
+
+func answering(body string) handlerFunc {
+	return func(ctx context.Context, _ *request.Call) (*request.Answer, error) {
+		if ctx.Err() != nil {
+			return nil, request.AsRefusal(ctx.Err())
+		}
+		return &request.Answer{
+			Status: 200, Body: io.NopCloser(strings.NewReader(body)), BodySize: int64(len(body)),
+			Report: func() request.Report { return request.Report{} },
+		}, nil
+	}
+}
+
+func refusing(cause request.Cause, outcome request.Outcome) handlerFunc {
+	return func(context.Context, *request.Call) (*request.Answer, error) {
+		return nil, request.Refuse(cause, outcome, 0)
+	}
+}
+
+const paymentKey = "018f3e00-0000-7000-8000-000000000001"
+
+func payment(t *testing.T) *request.Call {
+	key, err := commitment.ParseKey(paymentKey)
+	assert.NilError(t, err)
+	permission := commitment.Permission{Home: commitment.Home{Zone: "palermo"}, Epoch: 1, Key: key, Attempt: 1}
+	return &request.Call{
+		Context:        request.Context{Workspace: "school", Route: "pay", Deadline: time.Now().Add(time.Minute)},
+		Method:         "POST",
+		Commitment:     true,
+		IdempotencyKey: []byte(paymentKey),
+		Permission:     permission.ToProto(),
+		Replay:         func() io.Reader { return strings.NewReader("one mug") },
+	}
+}
+
+func TestDispatcherRecordsTheEnd(t *testing.T) {
+	long := strings.Repeat("x", keptBodyBytes+1)
+	cases := []struct {
+		name     string
+		next     request.Handler
+		recorded []request.Outcome
+		body     string
+	}{
+		{"answered", answering("paid"), []request.Outcome{request.Answered}, "paid"},
+		{"long answer", answering(long), []request.Outcome{request.Answered}, long},
+		{"failed", refusing(request.CauseBackendFailed, request.Unknown), []request.Outcome{request.Unknown}, ""},
+		// The entry node may use the same permission at another server.
+		{"not run", refusing(request.CauseNoBackend, request.NotRun), nil, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			home := &fakeHome{}
+			d := &dispatcher{client: clientOf(home), next: c.next}
+			// The caller is gone already.
+			ctx, cancel := context.WithCancel(t.Context())
+			cancel()
+			answer, err := d.Serve(ctx, payment(t))
+			assert.DeepEqual(t, home.finished, c.recorded)
+			if c.body == "" {
+				assert.Assert(t, err != nil)
+				return
+			}
+			assert.NilError(t, err)
+			got, err := io.ReadAll(answer.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, string(got), c.body)
+		})
+	}
+}
+
+func TestRefusedCommitmentIsConfirmed(t *testing.T) {
+	over := refusing(request.CauseRate, request.NotRun)
+	cases := []struct {
+		name    string
+		next    request.Handler
+		home    *fakeHome
+		cause   request.Cause
+		outcome request.Outcome
+	}{
+		{"the key has not run", over, &fakeHome{verdict: commitment.NotRun}, request.CauseRate, request.NotRun},
+		{"the key runs", over, &fakeHome{verdict: commitment.InProgress}, request.CauseInProgress, request.Unknown},
+		{"the key may have run", over, &fakeHome{verdict: commitment.Unknown}, request.CauseOutcomeUnknown, request.Unknown},
+		{"the home cannot tell", over, &fakeHome{verdict: commitment.Unavailable}, request.CauseRate, request.Unknown},
+		{"the home is not reached", over, &fakeHome{err: errNoOwner.New("test")}, request.CauseRate, request.Unknown},
+		{"a home never permits a look", over, &fakeHome{verdict: commitment.Run}, request.CauseRate, request.Unknown},
+		{
+			"the outcome is unknown already", refusing(request.CauseDeadline, request.Unknown),
+			&fakeHome{verdict: commitment.NotRun}, request.CauseDeadline, request.Unknown,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := newConfirmer(clientOf(c.home), c.next).Serve(t.Context(), payment(t))
+			refusal := request.AsRefusal(err)
+			assert.Equal(t, refusal.Cause, c.cause)
+			assert.Equal(t, refusal.Outcome, c.outcome)
+		})
+	}
+}
+
+// A repeat that is refused gets the answer of the run that there was.
+func TestRefusedRepeatGetsTheAnswer(t *testing.T) {
+	home := &fakeHome{}
+	d := &dispatcher{client: clientOf(home), next: answering("paid")}
+	_, err := d.Serve(t.Context(), payment(t))
+	assert.NilError(t, err)
+	home.verdict = commitment.Replay
+	answer, err := newConfirmer(clientOf(home), refusing(request.CauseOverload, request.NotRun)).Serve(t.Context(), payment(t))
+	assert.NilError(t, err)
+	got, err := io.ReadAll(answer.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), "paid")
+}
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -48,7 +48,11 @@
 	if err != nil {
 		end()
 		refusal := request.AsRefusal(err)
-		d.record(permission, refusal.Outcome, nil)
+		// The entry node may send what has not run to another server, by the
+		// same permission, and records it where it does not.
+		if refusal.Outcome != request.NotRun {
+			d.record(permission, refusal.Outcome, nil)
+		}
 		return nil, refusal
 	}
 	answer, err = d.keep(permission, answer)
