Tell the loans of two zones apart when a token goes back

Cause: a spend named its loan by the lender's epoch and number, which two zones' lenders may have in common. A spend of a loan that was over was then given back as one of the other zone's loan. Running nodes number loans from the wall clock's nanoseconds, so there it needs two owners that gained shards in the same one.

Ruled out: the chain of a lot's and a loan's times to live; accrual.

--- a/share/purse.go
+++ b/share/purse.go
@@ -46,6 +46,8 @@
 
 // Spend names one spent token.
 type Spend struct {
+	// zone is the lender's: loans of two zones may have one number.
+	zone    string
 	loan    LoanID
 	reports uint32
 }
@@ -91,7 +93,7 @@
 	h := &p.loans[best]
 	h.left--
 	h.spent++
-	return Spend{loan: h.id, reports: h.reports}, true
+	return Spend{zone: h.zone, loan: h.id, reports: h.reports}, true
 }
 
 // giveBack undoes a spend that has not been reported. Once it has, the lender
@@ -99,7 +101,7 @@
 func (p *purse) giveBack(s Spend, now time.Duration) bool {
 	for i := 0; i < p.count; i++ {
 		h := &p.loans[i]
-		if h.id != s.loan {
+		if h.zone != s.zone || h.id != s.loan {
 			continue
 		}
 		if h.reports != s.reports || h.expires <= now {
--- a/share/unit_test.go
+++ b/share/unit_test.go
@@ -110,3 +110,42 @@
 		loans = append(loans, grant.Loan)
 	}
 }
+
+// Of two spends of one loan, a report told of the first alone.
+func TestGiveBackOfUnreportedSpendAlone(t *testing.T) {
+	wallet := NewWallet("zone0")
+	wallet.Apply(testIndex(1, 10, 100, nil))
+	now := time.Second
+	wallet.Take(testWorkspace, now)
+	draw := wallet.Draw(testWorkspace, 1, now)
+	wallet.Answer(testWorkspace, Grant{ID: draw.ID, Loan: LoanID{1, 1}, Tokens: 3, TTL: time.Second}, now)
+	reported := wallet.Retake(testWorkspace, now)
+	assert.Equal(t, len(wallet.Reports(now)), 1)
+	unreported := wallet.Take(testWorkspace, now)
+	assert.Assert(t, !wallet.GiveBack(testWorkspace, reported.Spend, now))
+	assert.Assert(t, wallet.GiveBack(testWorkspace, unreported.Spend, now))
+	assert.Equal(t, wallet.Left(testWorkspace, now), 2.0)
+}
+
+// Loans of two zones may have one number: a spend of a loan that is over is not
+// given back as a spend of the other.
+func TestGiveBackTellsZonesApart(t *testing.T) {
+	wallet := NewWallet("zone0")
+	wallet.Apply(testIndex(2, 10, 4, nil))
+	now := time.Second
+	spendOf := func(zone string, tokens float64) Spend {
+		t.Helper()
+		wallet.Take(testWorkspace, now)
+		draw := wallet.Draw(testWorkspace, 1, now)
+		assert.Equal(t, draw.Zone, zone)
+		wallet.Answer(testWorkspace, Grant{ID: draw.ID, Loan: LoanID{1, 1}, Tokens: tokens, TTL: time.Second}, now)
+		return wallet.Retake(testWorkspace, now).Spend
+	}
+	wallet.Failed(testWorkspace, wallet.Draw(testWorkspace, 1, now).ID, now)
+	over := spendOf("zone1", 1)
+	assert.Assert(t, wallet.Reports(now)[0].Reports[0].Closed)
+	now += time.Second / 2
+	lasting := spendOf("zone0", 2)
+	assert.Assert(t, !wallet.GiveBack(testWorkspace, over, now))
+	assert.Assert(t, wallet.GiveBack(testWorkspace, lasting, now))
+}
