Let one owner collect the fractions of a small burst, and serve draws in order

Cause, by traces of each wrong refusal (burst 8, rate 40/s, demand 24/s, 4 zones x 100 nodes): a whole token was there each time, but as fractions held or borrowed by two or three owners at once, and draws gave up after 8 looks of 1 to 3 ms while draws that came later took what had come in. A node now asks its own zone's owner for what is free, then the workspace's collector, which alone borrows; without its answer the own zone's owner borrows as before. Waiting draws are served in order for up to 60 ms (30 ms and 8 looks before). An owner without a whole token keeps nothing back. A draw asks for what its requests lack after a partial grant.

--- a/share/account.go
+++ b/share/account.go
@@ -119,10 +119,10 @@
 	return sum
 }
 
-// lend makes a loan to a node of whole tokens. Nodes of the same zone get
-// what was borrowed from other zones first.
-func (a *account) lend(id LoanID, tokens float64, sameZone bool, now time.Duration) *loan {
-	if !sameZone {
+// lend makes a loan to a node of whole tokens. The bank's own nodes get what
+// was borrowed from other zones first.
+func (a *account) lend(id LoanID, tokens float64, ownNode bool, now time.Duration) *loan {
+	if !ownNode {
 		return a.lendOwn(id, tokens, now)
 	}
 	l := &loan{id: id, amount: tokens, own: tokens}
--- a/share/bank.go
+++ b/share/bank.go
@@ -143,12 +143,12 @@
 	available := b.lendable(a, d, now)
 	tokens := whole(min(d.Need, available))
 	tokens += whole(min(d.Want, (available-tokens)/spareDivisor))
-	if d.Borrower == b.config.Zone {
+	if b.ownNode(d) {
 		a.demand.add(max(d.Need, tokens), now)
 	}
 	grant := Grant{ID: d.ID, Tokens: tokens}
 	if tokens > 0 {
-		l := a.lend(b.nextID(), tokens, d.Borrower == b.config.Zone, now)
+		l := a.lend(b.nextID(), tokens, b.ownNode(d), now)
 		grant.Loan = l.id
 		grant.TTL = l.ttl
 	}
@@ -159,11 +159,22 @@
 	return grant
 }
 
+// ownNode tells whether the bank serves the borrower as one of its own nodes:
+// those of its zone, and those of other zones for which it collects.
+func (b *Bank) ownNode(d Draw) bool {
+	return d.Whole && (d.Collect || d.Borrower == b.config.Zone)
+}
+
 // lendable returns what a borrower may have: to those of other zones only
-// what the bank's own nodes are not about to need.
+// what the bank's own nodes are not about to need. A fraction is of no use to
+// them.
 func (b *Bank) lendable(a *account, d Draw, now time.Duration) float64 {
-	if d.Borrower == b.config.Zone {
-		return a.available(now)
+	available := a.available(now)
+	if b.ownNode(d) {
+		return available
+	}
+	if whole(available) < 1 {
+		return max(0, a.free)
 	}
 	return max(0, a.free-a.demand.rate(now)*reserveTime.Seconds())
 }
--- /dev/null
+++ b/share/collector.go
@@ -0,0 +1,35 @@
+package share
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"auburngap/bundle"
+)
+
+// collectBelow is the tokens of a zone's burst below which a workspace has a
+// collector.
+const collectBelow = 4
+
+// Collector returns the availability zone whose owner puts together the
+// fractions of a workspace with a small burst, empty where the zones' owners
+// borrow for themselves. It is the one with the largest share or, among equals,
+// the first by rendezvous hash.
+func Collector(index *bundle.Index, workspace string) string {
+	if index == nil {
+		return ""
+	}
+	w, ok := index.Workspace(workspace)
+	if !ok || w.Burst >= collectBelow*float64(len(index.Bundle.Zones)) {
+		return ""
+	}
+	best, bestShare, bestScore := "", 0.0, uint64(0)
+	for i := range index.Bundle.Zones {
+		zone := &index.Bundle.Zones[i]
+		part, score := index.ZoneShare(w, zone.Name), xxhash.Sum64String(workspace+"\x00"+zone.Name)
+		if zone.Shards <= 0 || part < bestShare || part == bestShare && score <= bestScore {
+			continue
+		}
+		best, bestShare, bestScore = zone.Name, part, score
+	}
+	return best
+}
--- a/share/doc.go
+++ b/share/doc.go
@@ -5,7 +5,8 @@
 // availability zone. A zone's share accrues only at the owner of the
 // workspace's shard there, its Bank. Nodes borrow whole tokens from the bank
 // into their Wallet before they run dry and spend them on customer requests;
-// a bank that runs dry borrows from the banks of other zones. A loan counts
+// a bank that runs dry borrows from the banks of other zones. Where the burst is a
+// few tokens a zone, one zone's bank, the collector, does so for all. A loan counts
 // against the lender's burst until it is reported spent, is given back, or has
 // lapsed by both clocks. So the tokens that can still be spent never exceed
 // the burst, and no lost, late or repeated message changes that.
--- a/share/loan.go
+++ b/share/loan.go
@@ -27,7 +27,9 @@
 	// Need is what waiting requests take at once, Want what is asked beyond it.
 	Need, Want float64
 	// Whole asks for whole tokens alone, as nodes do.
-	Whole   bool
+	Whole bool
+	// Collect asks the bank to borrow from other zones what it lacks.
+	Collect bool
 	Reports []Report
 }
 
--- a/share/owner.go
+++ b/share/owner.go
@@ -14,11 +14,11 @@
 	returnInterval = 5 * time.Millisecond
 	// peerTimeout bounds a draw from another zone.
 	peerTimeout = 50 * time.Millisecond
-	// borrowRounds is how often the banks of other zones are asked for one
-	// draw: what they are believed to hold may be out of date.
-	borrowRounds = 8
-	// patience is how long a draw waits for tokens to accrue.
-	patience = 30 * time.Millisecond
+	// patience is how long a draw waits for tokens to accrue or to come from
+	// other zones. It must be shorter than askTimeout.
+	patience = 60 * time.Millisecond
+	// shortestWait is the time between two looks at a bank.
+	shortestWait = time.Millisecond
 	// lookahead is the demand that a bank tries to have in stock.
 	lookahead = 30 * time.Millisecond
 )
@@ -59,8 +59,8 @@
 	// borrowing holds the workspaces for which banks of other zones are being
 	// asked; the channels close when that is over.
 	borrowing map[string]chan struct{}
-	// waiting sums up what nodes wait for.
-	waiting map[string]float64
+	// waiting holds by workspace what nodes wait for, in the order of arrival.
+	waiting map[string]*queue
 }
 
 // NewOwner returns an owner of no shard.
@@ -95,7 +95,7 @@
 	}
 	o.banks[shard] = &desk{
 		bank: bank, epoch: epoch,
-		borrowing: make(map[string]chan struct{}), waiting: make(map[string]float64),
+		borrowing: make(map[string]chan struct{}), waiting: make(map[string]*queue),
 	}
 }
 
@@ -141,7 +141,7 @@
 	if d == nil {
 		return notOwner(draw)
 	}
-	if draw.Whole && draw.Borrower == o.config.Zone && draw.Need > 0 {
+	if draw.Whole && draw.Collect && draw.Need > 0 {
 		d.bank.Report(draw.Workspace, draw.Reports, now)
 		o.borrow(ctx, d, draw)
 		now = o.config.Clock()
@@ -153,7 +153,7 @@
 	if !ok {
 		return notOwner(draw)
 	}
-	if draw.Whole {
+	if draw.Whole && draw.Collect {
 		o.borrowAhead(d, draw.Workspace, now)
 	}
 	return grantToProto(grant)
@@ -163,20 +163,15 @@
 	return &peerpb.DrawAnswer{Id: draw.ID, NotOwner: true}
 }
 
-// borrow waits, unlocked, until the bank has what a node needs, the banks of
-// other zones have been asked, or tokens that are due any moment have accrued.
+// borrow waits, unlocked, until the bank has what a node needs beyond what was
+// asked before, or its patience is over: meanwhile banks of other zones are
+// asked and tokens accrue.
 func (o *Owner) borrow(ctx context.Context, d *desk, draw Draw) {
-	d.waiting[draw.Workspace] += draw.Need
-	defer d.settleWaiting(draw)
-	for range borrowRounds {
-		now := o.config.Clock()
-		if d.bank.Available(draw.Workspace, now) >= draw.Need-wholeTolerance {
-			return
-		}
-		done := o.startBorrowing(d, draw.Workspace, d.waiting[draw.Workspace], now)
-		if done == nil {
-			done = accrued(d.bank.Accrual(draw.Workspace, d.waiting[draw.Workspace], now))
-		}
+	w := d.queue(draw.Workspace).join(draw.Need)
+	defer d.leave(draw.Workspace, w)
+	end := o.config.Clock() + patience
+	for ctx.Err() == nil {
+		done := o.oneRound(d, draw.Workspace, w, end)
 		if done == nil {
 			return
 		}
@@ -184,6 +179,32 @@
 	}
 }
 
+// oneRound returns a channel that closes when it is worth looking again, nil
+// where nothing more is to be waited for.
+func (o *Owner) oneRound(d *desk, workspace string, w *waiter, end time.Duration) chan struct{} {
+	now := o.config.Clock()
+	queue := d.queue(workspace)
+	due := queue.upTo(w)
+	if d.bank.Available(workspace, now) >= due-wholeTolerance {
+		return nil
+	}
+	if done := o.startBorrowing(d, workspace, queue.sum(), now); done != nil {
+		return done
+	}
+	wait := max(shortestWait, d.bank.Accrual(workspace, due, now))
+	if wait > end-now {
+		return nil
+	}
+	return after(wait)
+}
+
+// after returns a channel that closes after a time.
+func after(wait time.Duration) chan struct{} {
+	done := make(chan struct{})
+	time.AfterFunc(wait, func() { close(done) })
+	return done
+}
+
 // await unlocks while it waits.
 func (o *Owner) await(ctx context.Context, done chan struct{}) {
 	o.mu.Unlock()
@@ -194,20 +215,20 @@
 	}
 }
 
-// accrued returns a channel that closes after a short wait, nil for a long one.
-func accrued(wait time.Duration) chan struct{} {
-	if wait > patience {
-		return nil
+func (d *desk) queue(workspace string) *queue {
+	q, ok := d.waiting[workspace]
+	if !ok {
+		q = &queue{}
+		d.waiting[workspace] = q
 	}
-	done := make(chan struct{})
-	time.AfterFunc(max(wait, time.Millisecond), func() { close(done) })
-	return done
+	return q
 }
 
-func (d *desk) settleWaiting(draw Draw) {
-	d.waiting[draw.Workspace] -= draw.Need
-	if d.waiting[draw.Workspace] <= 0 {
-		delete(d.waiting, draw.Workspace)
+func (d *desk) leave(workspace string, w *waiter) {
+	q := d.queue(workspace)
+	q.leave(w)
+	if len(q.waiters) == 0 {
+		delete(d.waiting, workspace)
 	}
 }
 
--- a/share/purse.go
+++ b/share/purse.go
@@ -22,16 +22,31 @@
 	idleTime = 150 * time.Millisecond
 	// askTimeout is how long an answer is waited for.
 	askTimeout = 100 * time.Millisecond
-	// A zone's own owner that gave no answer is left alone for a time that
-	// doubles from the first to the last.
-	firstHomeBackoff = 250 * time.Millisecond
-	lastHomeBackoff  = 2 * time.Second
+	// An owner that gave no answer is left alone for a time that doubles from
+	// the first to the last.
+	firstBackoff = 250 * time.Millisecond
+	lastBackoff  = 2 * time.Second
 	// longestRefusal is how long a wallet refuses without asking again.
 	longestRefusal = 5 * time.Millisecond
 	// closeTime is how long before the end of its time a loan goes back.
 	closeTime = 100 * time.Millisecond
 )
 
+// backoff leaves an owner that gave no answer alone for a while.
+type backoff struct {
+	until time.Duration
+	pause time.Duration
+}
+
+func (b *backoff) over(now time.Duration) bool { return now >= b.until }
+
+func (b *backoff) failed(now time.Duration) {
+	b.pause = min(max(2*b.pause, firstBackoff), lastBackoff)
+	b.until = now + b.pause
+}
+
+func (b *backoff) answered() { b.pause = 0 }
+
 // held is a loan in a wallet.
 type held struct {
 	id    LoanID
@@ -63,12 +78,16 @@
 	pending     uint64
 	pendingNeed float64
 	pendingZone string
-	askedAt     time.Duration
-	// tried counts the owners asked for the requests that wait. The own
-	// zone's is left alone until homeAt.
-	tried       int
-	homeAt      time.Duration
-	homeBackoff time.Duration
+	// pendingCollect is true where the lender borrows what it lacks.
+	pendingCollect bool
+	askedAt        time.Duration
+	// tried counts the owners asked for the requests that wait.
+	tried int
+	// home is the own zone's owner, collector the one that collects the
+	// workspace's fractions; the zone is empty where there is none.
+	home          backoff
+	collector     backoff
+	collectorZone string
 	// listed is true while the purse is among the wallet's active ones.
 	listed       bool
 	refusedUntil time.Duration
--- a/share/wallet.go
+++ b/share/wallet.go
@@ -36,6 +36,7 @@
 type Wallet struct {
 	zone   string
 	zones  []string
+	index  *bundle.Index
 	purses map[string]*purse
 	active []*purse
 	lastID uint64
@@ -51,13 +52,15 @@
 // Apply puts a bundle into force: it names the zones whose owners may lend
 // and forgets workspaces that are gone.
 func (w *Wallet) Apply(index *bundle.Index) {
+	w.index = index
 	w.zones = []string{w.zone}
 	for i := range index.Bundle.Zones {
 		if name := index.Bundle.Zones[i].Name; name != w.zone {
 			w.zones = append(w.zones, name)
 		}
 	}
-	for name := range w.purses {
+	for name, p := range w.purses {
+		p.collectorZone = Collector(index, name)
 		if _, ok := index.Workspace(name); !ok {
 			delete(w.purses, name)
 		}
@@ -89,32 +92,44 @@
 }
 
 // Draw returns the message for the workspace's owner in the zone named by the
-// draw; need counts the requests that wait. Until it is answered or has timed
+// draw; need counts the requests that wait, of which some may find a token here
+// by now. Until it is answered or has timed
 // out, no other is due.
 func (w *Wallet) Draw(workspace string, need int, now time.Duration) Draw {
 	p := w.purse(workspace)
 	w.lastID++
 	p.pending = w.lastID
-	p.pendingNeed = float64(need)
-	p.pendingZone = w.lender(p, now)
+	p.pendingZone, p.pendingCollect = w.lender(p, now)
 	p.askedAt = now
 	reports := p.reports(p.pendingZone, now)
+	p.pendingNeed = max(0, float64(need)-p.left(now))
 	return Draw{
 		ID: w.lastID, Zone: p.pendingZone, Workspace: workspace,
-		Need: float64(need), Want: p.want(now),
-		Whole: true, Borrower: w.zone, Reports: reports,
+		Need: p.pendingNeed, Want: p.want(now),
+		Whole: true, Collect: p.pendingCollect, Borrower: w.zone, Reports: reports,
 	}
 }
 
-// lender returns the zone to ask: the node's own, or others in turn while the
-// own one's owner gives no answer.
-func (w *Wallet) lender(p *purse, now time.Duration) string {
+// lender returns the zone to ask and whether its owner is to collect from the
+// others: the node's own, then the collector where there is one, and others in
+// turn while these give no answer.
+func (w *Wallet) lender(p *purse, now time.Duration) (zone string, collect bool) {
 	p.tried++
-	if p.tried == 1 && now >= p.homeAt || len(w.zones) == 1 {
-		return w.zone
+	elsewhere := w.collectsElsewhere(p, now)
+	if p.tried == 1 && p.home.over(now) || len(w.zones) == 1 {
+		return w.zone, !elsewhere
+	}
+	if elsewhere {
+		return p.collectorZone, true
 	}
 	w.turn++
-	return w.zones[1+w.turn%(len(w.zones)-1)]
+	return w.zones[1+w.turn%(len(w.zones)-1)], false
+}
+
+// collectsElsewhere tells whether another zone's owner, which is not known to
+// be out of reach, collects the workspace's fractions.
+func (w *Wallet) collectsElsewhere(p *purse, now time.Duration) bool {
+	return p.collectorZone != "" && p.collectorZone != w.zone && p.collector.over(now)
 }
 
 // Answer takes in a grant and tells whether another owner is to be asked. A
@@ -127,14 +142,17 @@
 	p.pending = 0
 	p.add(grant, p.askedAt+grant.TTL)
 	w.list(p)
-	if p.pendingZone == w.zone {
-		p.homeBackoff = 0
+	switch p.pendingZone {
+	case w.zone:
+		p.home.answered()
+	case p.collectorZone:
+		p.collector.answered()
 	}
 	if grant.Tokens >= p.pendingNeed {
 		p.tried = 0
 		return false
 	}
-	if p.pendingZone != w.zone {
+	if !p.pendingCollect {
 		return w.another(p, grant.RetryAfter, now)
 	}
 	p.tried = 0
@@ -151,10 +169,14 @@
 	}
 	p.pending = 0
 	if p.pendingZone == w.zone {
-		p.homeBackoff = min(max(2*p.homeBackoff, firstHomeBackoff), lastHomeBackoff)
-		p.homeAt = now + p.homeBackoff
+		p.home.failed(now)
+	} else if p.pendingCollect {
+		// The own zone's owner collects instead.
+		p.collector.failed(now)
+		p.tried = 0
+		return true
 	}
-	return w.another(p, firstHomeBackoff, now)
+	return w.another(p, firstBackoff, now)
 }
 
 // another tells whether an owner is left to ask for the requests that wait,
@@ -237,7 +259,7 @@
 func (w *Wallet) purse(workspace string) *purse {
 	p, ok := w.purses[workspace]
 	if !ok {
-		p = &purse{workspace: workspace}
+		p = &purse{workspace: workspace, collectorZone: Collector(w.index, workspace)}
 		w.purses[workspace] = p
 	}
 	return p
--- a/share/wire.go
+++ b/share/wire.go
@@ -36,6 +36,7 @@
 		Want:             d.Want,
 		BorrowerZone:     d.Borrower,
 		Whole:            d.Whole,
+		Collect:          d.Collect,
 		Reports:          reportsToProto(d.Reports),
 	}
 }
@@ -50,6 +51,7 @@
 		Need:      amount(m.GetNeed()),
 		Want:      amount(m.GetWant()),
 		Whole:     m.GetWhole(),
+		Collect:   m.GetCollect(),
 	}
 	for _, r := range m.GetReports() {
 		d.Reports = append(d.Reports, Report{
