Send the requests of a load when they are due, and take turns

Cause: time.Sleep in an idle process wakes up to 1 ms late, since the runtime's poller waits whole milliseconds, and the load counts latency from when a request was due. The hop test measured all direct calls first and the others seconds later, so that what else the machine did fell on one side only.

The test now also prints p90 and the nodes' processor time a call.

--- a/e2e/hop_test.go
+++ b/e2e/hop_test.go
@@ -1,18 +1,23 @@
 package e2e
 
 import (
+	"bytes"
+	"fmt"
 	"net/netip"
 	"os"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"gotest.tools/v3/assert"
 
 	"auburngap/load"
 )
 
 // TestHopLatency prints the time that one hop through two nodes adds to a
-// direct call, measured in the same run. It runs on demand, since its figures
+// direct call, measured in the same run, and what it costs of the processors. It runs on demand, since its figures
 // say nothing on a machine that does other work: AUBURNGAP_MEASURE=1.
 func TestHopLatency(t *testing.T) {
 	if os.Getenv("AUBURNGAP_MEASURE") == "" {
@@ -24,25 +29,70 @@
 	w := newWorld(t, b)
 	direct := w.addresses[vmName("g", 0)]
 	remote := w.node("f").Settings.CallerAddress
+	// What else the machine does falls on both alike, as they take turns.
+	const turns = 5
 	for _, rate := range []float64{100, 500, 2000} {
-		base := measure(t, direct, rate, "")
-		through := measure(t, remote, rate, schoolKey)
-		for _, quantile := range []float64{50, 99} {
-			added := through.Latency.ValueAtQuantile(quantile) - base.Latency.ValueAtQuantile(quantile)
-			t.Logf("%5.0f requests/s  p%.0f: direct %d µs, through two nodes %d µs, added %d µs",
-				rate, quantile, base.Latency.ValueAtQuantile(quantile), through.Latency.ValueAtQuantile(quantile), added)
+		warmUp(t, direct, rate, "")
+		warmUp(t, remote, rate, schoolKey)
+		base, through := newTally(), newTally()
+		var entry, other time.Duration
+		for range turns {
+			base.measure(t, direct, rate, "")
+			entryBefore, otherBefore := processorTime(t, w.node("f").ID()), processorTime(t, w.node("g").ID())
+			through.measure(t, remote, rate, schoolKey)
+			entry += processorTime(t, w.node("f").ID()) - entryBefore
+			other += processorTime(t, w.node("g").ID()) - otherBefore
 		}
-		t.Logf("statuses: direct %v, through two nodes %v", base.Statuses, through.Statuses)
+		for _, quantile := range []float64{50, 90, 99} {
+			t.Logf("%5.0f requests/s  p%.0f: direct %d µs, through two nodes %d µs, added %d µs", rate, quantile,
+				base.latency.ValueAtQuantile(quantile), through.latency.ValueAtQuantile(quantile),
+				through.latency.ValueAtQuantile(quantile)-base.latency.ValueAtQuantile(quantile))
+		}
+		calls := time.Duration(through.latency.TotalCount())
+		t.Logf("%5.0f requests/s  processor time a call: entry node %v, other node %v", rate, entry/calls, other/calls)
+		t.Logf("statuses: direct %v, through two nodes %v", base.statuses, through.statuses)
+	}
+}
+
+func warmUp(t *testing.T, address netip.AddrPort, rate float64, key string) {
+	t.Helper()
+	newTally().measure(t, address, rate, key)
+}
+
+// tally sums up several loads.
+type tally struct {
+	latency  *hdrhistogram.Histogram
+	statuses map[int]int
+}
+
+func newTally() *tally {
+	return &tally{latency: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3), statuses: make(map[int]int)}
+}
+
+func (s *tally) measure(t *testing.T, address netip.AddrPort, rate float64, key string) {
+	t.Helper()
+	result, err := load.Run(t.Context(), load.Config{
+		Address: address, Path: "/single", Method: "GET", Key: key, Rate: rate, Duration: 2 * time.Second,
+	})
+	assert.NilError(t, err)
+	s.latency.Merge(result.Latency)
+	for status, count := range result.Statuses {
+		s.statuses[status] += count
 	}
 }
 
-func measure(t *testing.T, address netip.AddrPort, rate float64, key string) *load.Result {
+// processorTime returns what a process has used of the processors so far, its
+// control plane included.
+func processorTime(t *testing.T, id int) time.Duration {
 	t.Helper()
-	config := load.Config{Address: address, Path: "/single", Method: "GET", Key: key, Rate: rate, Duration: 2 * time.Second}
-	_, err := load.Run(t.Context(), config)
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", id))
+	assert.NilError(t, err)
+	const tick = 10 * time.Millisecond
+	// The fields behind the command's name begin with the third.
+	fields := strings.Fields(string(data[bytes.LastIndexByte(data, ')')+1:]))
+	user, err := strconv.Atoi(fields[11])
 	assert.NilError(t, err)
-	config.Duration = 5 * time.Second
-	result, err := load.Run(t.Context(), config)
+	system, err := strconv.Atoi(fields[12])
 	assert.NilError(t, err)
-	return result
+	return time.Duration(user+system) * tick
 }
--- a/load/load.go
+++ b/load/load.go
@@ -13,7 +13,9 @@
 import (
 	"context"
 	"net/netip"
+	"runtime"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -32,6 +34,8 @@
 	requestTimeout = 30 * time.Second
 	maxRate        = 100_000
 	maxDuration    = 10 * time.Minute
+	// coarseSleep is how long before a request is due the exact wait begins.
+	coarseSleep = 2 * time.Millisecond
 	// maxInFlight bounds the requests that wait at once.
 	maxInFlight = 4096
 )
@@ -122,7 +126,7 @@
 	interval := time.Duration(float64(time.Second) / r.config.Rate)
 	start := time.Now()
 	for due := start; due.Sub(start) < r.config.Duration && ctx.Err() == nil; due = due.Add(interval) {
-		time.Sleep(time.Until(due))
+		sleepUntil(due)
 		select {
 		case r.slots <- struct{}{}:
 			group.Go(func() {
@@ -136,6 +140,19 @@
 	group.Wait()
 }
 
+// sleepUntil returns at due and not up to 1 ms later, as time.Sleep does in a
+// process that is otherwise idle: the runtime's poller waits whole milliseconds.
+func sleepUntil(due time.Time) {
+	// The request that was begun last goes first.
+	runtime.Gosched()
+	time.Sleep(time.Until(due) - coarseSleep)
+	for rest := time.Until(due); rest > 0; rest = time.Until(due) {
+		wait := syscall.NsecToTimespec(rest.Nanoseconds())
+		// A signal may end the wait sooner.
+		_ = syscall.Nanosleep(&wait, nil)
+	}
+}
+
 func (r *runner) unsent() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
