Send a multiplexer's header and payload in one write

Cause: yamux writes each frame's header and payload apart; without delay in TCP these are two system calls and two packets, and the other node may wake twice.

--- a/peer/session.go
+++ b/peer/session.go
@@ -96,7 +96,7 @@
 	if err := conn.SetDeadline(time.Time{}); err != nil {
 		return nil, ErrHello.Wrap(err, "clear deadline")
 	}
-	mux, err := start(conn, muxConfig())
+	mux, err := start(&joiningConn{Conn: conn}, muxConfig())
 	if err != nil {
 		return nil, ErrHello.Wrap(err, "start session")
 	}
