Let a node listen at another address than its peers dial

Cause: a VM behind a forwarded port, and a test with a forwarder before each node, needs peerAddress to be what others dial and not what the node binds. Ruled out: distinct loopback addresses with bound outgoing connections, which would need a setting as well and no user has a use for. Conclusion: nodes without it behave as before.

--- a/node/node.go
+++ b/node/node.go
@@ -100,7 +100,7 @@
 // Run serves until the context ends, then drains and returns.
 func (n *Node) Run(ctx context.Context) error {
 	s := n.config.Settings
-	listeners, err := listenAll(s.CallerAddress, s.PeerAddress, s.BackendAddress, s.ControlAddress)
+	listeners, err := listenAll(s.CallerAddress, s.PeerListener(), s.BackendAddress, s.ControlAddress)
 	if err != nil {
 		return err
 	}
--- a/settings/check.go
+++ b/settings/check.go
@@ -28,6 +28,7 @@
 	c.demand(n.AvailabilityZone != "", "availabilityZone", "a name is needed")
 	c.address(n.CallerAddress, "callerAddress")
 	c.address(n.PeerAddress, "peerAddress")
+	c.demand(!n.PeerListenAddress.IsValid() || n.PeerListenAddress.Port() != 0, "peerListenAddress", "an address with port, such as 0.0.0.0:8081, or none")
 	c.address(n.BackendAddress, "backendAddress")
 	c.address(n.ControlAddress, "controlAddress")
 	c.address(n.PlatformAddress, "platformAddress")
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -25,6 +25,8 @@
 	CallerAddress netip.AddrPort `json:"callerAddress"`
 	// PeerAddress is where other nodes reach the node.
 	PeerAddress netip.AddrPort `json:"peerAddress"`
+	// PeerListenAddress is where the node listens for other nodes if that is not peerAddress, such as behind a forwarded port.
+	PeerListenAddress netip.AddrPort `json:"peerListenAddress"`
 	// BackendAddress is where the backend server of the VM reaches the node; on loopback.
 	BackendAddress netip.AddrPort `json:"backendAddress"`
 	// ControlAddress is where operators reach health, metrics, status and reports.
@@ -51,6 +53,14 @@
 	IdleTimeout Duration `json:"idleTimeout"`
 }
 
+// PeerListener returns the address to listen on for other nodes.
+func (n *Node) PeerListener() netip.AddrPort {
+	if n.PeerListenAddress.IsValid() {
+		return n.PeerListenAddress
+	}
+	return n.PeerAddress
+}
+
 // Operator is a person who may sign the first bundle.
 type Operator struct {
 	// Name is the operator's name, as the bundle has it.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"net/netip"
 	"os"
 	"testing"
 	"time"
@@ -31,6 +32,14 @@
 	}
 }
 
+func TestPeerListener(t *testing.T) {
+	node := Default()
+	node.PeerAddress = netip.MustParseAddrPort("10.0.0.1:8081")
+	assert.Equal(t, node.PeerListener(), node.PeerAddress)
+	node.PeerListenAddress = netip.MustParseAddrPort("0.0.0.0:9081")
+	assert.Equal(t, node.PeerListener(), node.PeerListenAddress)
+}
+
 // TestPage compares the page with the struct; make generate writes it anew.
 func TestPage(t *testing.T) {
 	var page bytes.Buffer
