Keep no call waiting for a node that was lost before

Cause: a node behind a cut that drops bytes does not refuse a dial; each call that spilled over to it waited 3 s for the hello before it went elsewhere. Ruled out: a shorter hello timeout, which would hurt a loaded node's first dial. Change: after a failed dial or an ended session calls wait at most 100 ms for the next dial, which goes on beside them. TestRedialKeepsNobodyWaiting fails without the change.

--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
@@ -290,3 +291,24 @@
 		}
 	})
 }
+
+// TestRedialKeepsNobodyWaiting asks for a node that takes connections and says
+// nothing, as one behind a cut: after the first dial has failed, no call waits
+// for the next ones to end.
+func TestRedialKeepsNobodyWaiting(t *testing.T) {
+	t.Parallel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	pool := newPool(t, nil)
+	_, err = pool.OpenStream(t.Context(), address)
+	assert.Assert(t, errorx.IsOfType(err, ErrUnreachable), "%v", err)
+	time.Sleep(redialAfter)
+	for range 3 {
+		asked := time.Now()
+		_, err = pool.OpenStream(t.Context(), address)
+		assert.Assert(t, errorx.IsOfType(err, ErrUnreachable), "%v", err)
+		assert.Assert(t, time.Since(asked) < helloTimeout/2)
+	}
+}
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -18,6 +18,9 @@
 	dialTimeout = 2 * time.Second
 	// redialAfter is the time for which a failed dial is not repeated.
 	redialAfter = 200 * time.Millisecond
+	// redialWait bounds the wait for a dial after a dial that failed or a session
+	// that ended: the node may be cut off, and another one may take the call.
+	redialWait = 100 * time.Millisecond
 )
 
 // PoolConfig configures a Pool.
@@ -44,6 +47,8 @@
 	err     error
 	failed  time.Time
 	dialled chan struct{}
+	// again is set where an earlier dial failed or an earlier session ended.
+	again bool
 }
 
 // NewPool returns an empty pool.
@@ -73,11 +78,29 @@
 	if dial {
 		go p.dial(address, entry)
 	}
+	if err := entry.wait(ctx); err != nil {
+		return nil, ErrUnreachable.Wrap(err, "dial %s", address)
+	}
+	return entry.session, entry.err
+}
+
+// wait returns an error where the dial has not ended in time.
+func (e *poolEntry) wait(ctx context.Context) error {
 	select {
-	case <-entry.dialled:
-		return entry.session, entry.err
+	case <-e.dialled:
+		return nil
+	default:
+	}
+	if e.again {
+		bounded, cancel := context.WithTimeout(ctx, redialWait)
+		defer cancel()
+		ctx = bounded
+	}
+	select {
+	case <-e.dialled:
+		return nil
 	case <-ctx.Done():
-		return nil, ErrUnreachable.Wrap(ctx.Err(), "dial %s", address)
+		return ctx.Err()
 	}
 }
 
@@ -88,10 +111,11 @@
 	if p.closed {
 		return nil, false, ErrUnreachable.New("pool is closed")
 	}
-	if entry, ok := p.entries[address]; ok && entry.usable(time.Now()) {
-		return entry, false, nil
+	earlier, again := p.entries[address]
+	if again && earlier.usable(time.Now()) {
+		return earlier, false, nil
 	}
-	entry := &poolEntry{dialled: make(chan struct{})}
+	entry := &poolEntry{dialled: make(chan struct{}), again: again}
 	p.entries[address] = entry
 	return entry, true, nil
 }
