Ask several seeds once the first gave no relay

Ruled out: asking several in the first round as well, as seeds would carry several times the load when a site starts. Change: seeds are walked in a random order without repeats, one in the first round, four in each later one.

--- a/directory/search.go
+++ b/directory/search.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,12 +13,17 @@
 	"auburngap/peer/peerpb"
 )
 
-// queryTimeout bounds a question to one node.
-const queryTimeout = time.Second
+const (
+	// queryTimeout bounds a question to one node.
+	queryTimeout = time.Second
+	// seedsAtOnce is how many seeds are asked at a time once the first gave no relay.
+	seedsAtOnce = 4
+)
 
 // runSearch looks for relays while the node has no link to any.
 func (d *Directory) runSearch(ctx context.Context) error {
 	wait := d.newBackoff()
+	seeds := d.newSeedCycle()
 	for round := 0; ctx.Err() == nil; round++ {
 		changed := d.watch()
 		if d.settled() {
@@ -28,7 +35,8 @@
 			}
 			continue
 		}
-		d.search(ctx, round > 0)
+		again := round > 0
+		d.search(ctx, seeds.next(again), again)
 		wait.wait(ctx)
 	}
 	return nil
@@ -41,15 +49,19 @@
 	return d.slot != noSlot || d.answered != [nodeLinks]bool{}
 }
 
-// search asks a seed first, so that the platform is asked by few nodes when
+// search asks seeds first, so that the platform is asked by few nodes when
 // many start at once. Relays that are known but have not answered by the next
 // round no longer keep it from asking the platform.
-func (d *Directory) search(ctx context.Context, again bool) {
-	if seed, ok := d.chooseSeed(); ok {
-		if _, err := d.query(ctx, seed); err != nil {
-			d.logger.Debug("directory: seed did not answer", zap.Stringer("seed", seed), zap.Error(err))
-		}
+func (d *Directory) search(ctx context.Context, seeds []netip.AddrPort, again bool) {
+	var asked sync.WaitGroup
+	for _, seed := range seeds {
+		asked.Go(func() {
+			if _, err := d.query(ctx, seed); err != nil {
+				d.logger.Debug("directory: seed did not answer", zap.Stringer("seed", seed), zap.Error(err))
+			}
+		})
 	}
+	asked.Wait()
 	d.resume()
 	if !again && d.hasCandidate() {
 		return
@@ -61,11 +73,29 @@
 	d.askPlatform(ctx)
 }
 
-func (d *Directory) chooseSeed() (netip.AddrPort, bool) {
-	if len(d.config.Seeds) == 0 {
-		return netip.AddrPort{}, false
+// seedCycle walks through the seeds in an order of its own, so that a node that
+// starts in a zone that is cut off soon asks one that it can reach.
+type seedCycle struct {
+	seeds []netip.AddrPort
+}
+
+func (d *Directory) newSeedCycle() *seedCycle {
+	isSelf := func(seed netip.AddrPort) bool { return seed == d.config.Address }
+	seeds := slices.DeleteFunc(slices.Clone(d.config.Seeds), isSelf)
+	rand.Shuffle(len(seeds), func(i, k int) { seeds[i], seeds[k] = seeds[k], seeds[i] })
+	return &seedCycle{seeds: seeds}
+}
+
+// next returns the seeds of a round: one in the first, several in each later one.
+func (c *seedCycle) next(again bool) []netip.AddrPort {
+	n := 1
+	if again {
+		n = seedsAtOnce
 	}
-	return d.config.Seeds[rand.IntN(len(d.config.Seeds))], true
+	n = min(n, len(c.seeds))
+	round := slices.Clone(c.seeds[:n])
+	c.seeds = append(c.seeds[n:], round...)
+	return round
 }
 
 func (d *Directory) hasCandidate() bool {
