--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -68,8 +68,10 @@
 	adjust func(*settings.Node)
 	// replicas is the number of VMs of each service.
 	replicas int
-	servers  map[string]*fake.Server
-	platform platform.Client
+	// wholeZones puts all services of a replica into one availability zone.
+	wholeZones bool
+	servers    map[string]*fake.Server
+	platform   platform.Client
 	// addresses are those of the fake backend servers.
 	addresses map[string]netip.AddrPort
 
@@ -160,7 +162,7 @@
 	w.t.Helper()
 	var vms []site.VM
 	for _, vm := range w.vms() {
-		vms = append(vms, site.VM{Name: vm.name, Zone: w.bundle.Zones[len(vms)%len(w.bundle.Zones)].Name})
+		vms = append(vms, site.VM{Name: vm.name, Zone: vm.zone})
 	}
 	s, err := site.Start(w.ctx, site.Config{Binary: binary, Directory: w.t.TempDir(), VMs: vms, Operators: w.operators, Adjust: w.adjust})
 	assert.NilError(w.t, err)
@@ -176,20 +178,37 @@
 // testVM is one VM of a world.
 type testVM struct {
 	name    string
+	zone    string
 	service bundle.Service
 }
 
-// vms lists the VMs, replica after replica.
+// vms lists the VMs, replica after replica, the availability zones in turn.
 func (w *world) vms() []testVM {
 	var vms []testVM
 	for replica := range w.replicas {
 		for _, service := range w.bundle.Services {
-			vms = append(vms, testVM{name: vmName(service.Name, replica), service: service})
+			turn := len(vms)
+			if w.wholeZones {
+				turn = replica
+			}
+			zone := w.bundle.Zones[turn%len(w.bundle.Zones)].Name
+			vms = append(vms, testVM{name: vmName(service.Name, replica), zone: zone, service: service})
 		}
 	}
 	return vms
 }
 
+// callerAddressesIn returns the nodes of a zone that callers may use, but for one VM.
+func (w *world) callerAddressesIn(zone, except string) []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, vm := range w.vms() {
+		if vm.zone == zone && vm.name != except {
+			addresses = append(addresses, w.site.Node(vm.name).Settings.CallerAddress)
+		}
+	}
+	return addresses
+}
+
 func vmName(service string, replica int) string {
 	return fmt.Sprintf("vm-%s-%d", service, replica)
 }
