Follow a service from its first request on, until it is idle

Cause: each node subscribed to the services of all routes. At 2,000 services of 15 targets that is 27.8 MB beside a process of 16 MB, with a budget of 32 MB.

A node now follows the services that its own service calls, and others from their first request on until none has come for 5 minutes. The first request waits for the listing within its deadline. Word that a service has no backend server is told only once every linked relay has answered the subscription; for that a link has one subscription under way at a time, and no message changes.

Ruled out: a bound on the wait after which an empty listing counts, as it refuses wrongly whenever relays are slow; a number that updates carry back, as a subscription at a time needs none.

Tests: told empty at once fails TestFirstSubscription and TestSubscriptionsComeAndGo; without one subscription at a time TestLateListing fails. The site of the directory's tests notes what nodes are told.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -11,7 +11,7 @@
 //		OnTargets: func(service string, targets []route.Target) { ... }})
 //	server.HandleStream(peer.KindAnnounce, d.HandleStream)
 //	group.Go(func() error { return d.Run(ctx) })
-//	d.SetServices(services)                // whenever a bundle comes into force
+//	d.SetServices(services)                // whenever the node calls others
 //	d.SetBackend(directory.Backend{...})   // whenever the backend server announces itself
 //	<-d.CaughtUp()                         // before serving callers
 //
@@ -63,7 +63,8 @@
 	// Zones returns the availability zones of the site; nil where there is one.
 	Zones func() []string
 	// OnTargets is told the backend servers of a subscribed service whenever
-	// they change. It is called from one goroutine and must not block for long.
+	// they change, and none only once relays have answered that there are none.
+	// It is called from one goroutine and must not block for long.
 	OnTargets func(service string, targets []route.Target)
 	Logger    *zap.Logger
 	// Timing holds the intervals; its zero fields take their defaults.
@@ -147,10 +148,11 @@
 	relays *RelayTable
 	shelf  *shelf
 	self   Entry
-	// services is what this node subscribes to; servicesChanges counts its changes.
-	services        map[string]struct{}
-	servicesChanges uint64
-	slot            int
+	// wanted is what this node subscribes to.
+	wanted wanted
+	slot   int
+	// relaySince is when the node took its slot.
+	relaySince time.Time
 	// subscribers are the accepted streams.
 	subscribers map[*subscriber]struct{}
 	// failed holds the addresses that did not answer, with the time of the next try.
@@ -188,7 +190,6 @@
 			Sequence:    1,
 			Since:       now,
 		},
-		services:    make(map[string]struct{}),
 		slot:        noSlot,
 		subscribers: make(map[*subscriber]struct{}),
 		failed:      make(map[netip.AddrPort]time.Time),
@@ -236,24 +237,13 @@
 	d.wake()
 }
 
-// SetServices subscribes to the backend servers of services: those that the
-// own service calls and those of the entry routes.
+// SetServices subscribes to the backend servers of services and of no others.
 func (d *Directory) SetServices(services []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	wanted := make(map[string]struct{}, len(services))
-	same := true
-	for _, service := range services {
-		_, known := d.services[service]
-		same = same && known
-		wanted[service] = struct{}{}
-	}
-	if same && len(wanted) == len(d.services) {
-		return
+	if d.wanted.set(services) {
+		d.wake()
 	}
-	d.services = wanted
-	d.servicesChanges++
-	d.wake()
 }
 
 // Targets returns the backend servers of a subscribed service, in no order.
@@ -333,10 +323,16 @@
 
 // sleep waits for a time or the context's end.
 func sleep(ctx context.Context, wait time.Duration) {
+	sleepUnless(ctx, wait, nil)
+}
+
+// sleepUnless is sleep that a prompt ends.
+func sleepUnless(ctx context.Context, wait time.Duration, prompt <-chan struct{}) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
+	case <-prompt:
 	case <-timer.C:
 	}
 }
--- a/directory/link.go
+++ b/directory/link.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -40,6 +42,10 @@
 	announced  Entry
 	subscribed uint64
 	again      chan struct{}
+	// asked is set while the relay owes the listing of the last subscription;
+	// until then no other is sent, so that it is known what a listing answers.
+	// It is guarded by d.mu.
+	asked bool
 	// listing gathers the parts of a whole listing.
 	listing map[string]struct{}
 }
@@ -149,14 +155,11 @@
 	}
 	// A relay lists what other relays hear; a subscription beside it would make
 	// relays support entries by each other's word.
-	if d.slot != noSlot || l.subscribed == d.servicesChanges {
+	if d.slot != noSlot || l.asked || l.subscribed == d.wanted.changes {
 		return frames
 	}
-	l.subscribed = d.servicesChanges
-	subscribe := &peerpb.Subscribe{}
-	for service := range d.services {
-		subscribe.Services = append(subscribe.Services, service)
-	}
+	l.subscribed, l.asked = d.wanted.changes, true
+	subscribe := &peerpb.Subscribe{Services: slices.Collect(maps.Keys(d.wanted.services))}
 	return append(frames, &peerpb.DirectoryFrame{Frame: &peerpb.DirectoryFrame_Subscribe{Subscribe: subscribe}})
 }
 
--- a/directory/link_choice.go
+++ b/directory/link_choice.go
@@ -125,6 +125,7 @@
 	defer d.mu.Unlock()
 	d.links[i] = netip.AddrPort{}
 	d.answered[i] = false
+	d.wanted.answer(i, 0)
 	if !lasted {
 		d.failed[relay.Address] = time.Now().Add(d.config.Timing.MaxRetry)
 	}
--- a/directory/link_receive.go
+++ b/directory/link_receive.go
@@ -79,6 +79,7 @@
 	if l.listing != nil && !m.GetMore() {
 		l.d.state.Retain(now, l.source, l.listing)
 		l.listing = nil
+		l.listed()
 	}
 	if l.d.state.Version() != before {
 		l.d.wake()
@@ -86,6 +87,16 @@
 	return nil
 }
 
+// listed notes that the relay has listed what it was asked for; l.d.mu is held.
+func (l *link) listed() {
+	if !l.asked {
+		return
+	}
+	l.asked = false
+	l.d.wanted.answer(l.index, l.subscribed)
+	l.d.wake()
+}
+
 // noteVersions takes in what the relay knows of bundles.
 func (l *link) noteVersions(m *peerpb.BundleVersions) {
 	l.d.hearWord(m.GetWordAgeMicros())
@@ -107,6 +118,7 @@
 	defer d.mu.Unlock()
 	if d.answered[i] != answered {
 		d.answered[i] = answered
+		d.wanted.news++
 		d.wake()
 	}
 }
--- a/directory/loops.go
+++ b/directory/loops.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"auburngap/route"
 )
 
 // runTicks lets silent nodes expire. A relay hears itself.
@@ -25,6 +27,7 @@
 	before := d.state.Version()
 	d.hearSelf(now)
 	d.dropRetired(now)
+	d.inform(now)
 	d.state.Tick(now)
 	if d.state.Version() != before {
 		d.wake()
@@ -44,11 +47,20 @@
 
 // runTargets tells the subscribed services' backend servers on each change.
 func (d *Directory) runTargets(ctx context.Context) error {
-	version, changes := uint64(0), uint64(0)
+	if d.config.OnTargets == nil {
+		return nil
+	}
+	var told toldTargets
 	for ctx.Err() == nil {
 		changed := d.watch()
-		version, changes = d.tellTargets(version, changes)
-		sleep(ctx, d.config.Timing.Push/2)
+		var due map[string][]route.Target
+		due, told = d.targetsDue(told)
+		for service, targets := range due {
+			d.config.OnTargets(service, targets)
+		}
+		if len(due) > 0 {
+			sleep(ctx, d.config.Timing.Push/2)
+		}
 		select {
 		case <-ctx.Done():
 		case <-changed:
@@ -57,29 +69,30 @@
 	return nil
 }
 
-// tellTargets tells of the services that changed after a version, or of all
-// where the subscription has changed.
-func (d *Directory) tellTargets(version, changes uint64) (uint64, uint64) {
+// toldTargets tells up to where changes have been told.
+type toldTargets struct {
+	version, changes, news uint64
+}
+
+// targetsDue returns the backend servers of the services of which there is
+// something to tell. Of one that seems to have none, nothing is told before
+// relays have answered.
+func (d *Directory) targetsDue(told toldTargets) (map[string][]route.Target, toldTargets) {
 	d.mu.Lock()
-	changed, version := d.state.ChangedServices(version)
-	if d.servicesChanges != changes {
-		changed = d.services
-	}
-	changes = d.servicesChanges
-	var told []string
-	for service := range changed {
-		if _, ok := d.services[service]; ok {
-			told = append(told, service)
+	defer d.mu.Unlock()
+	changed, version := d.state.ChangedServices(told.version)
+	due := make(map[string][]route.Target)
+	for service, since := range d.wanted.services {
+		_, ok := changed[service]
+		if !ok && since <= told.changes && d.wanted.news == told.news {
+			continue
+		}
+		targets := d.state.Targets(service)
+		if len(targets) > 0 || d.wanted.known(service, d.slot != noSlot, d.answered) {
+			due[service] = targets
 		}
 	}
-	d.mu.Unlock()
-	if d.config.OnTargets == nil {
-		return version, changes
-	}
-	for _, service := range told {
-		d.config.OnTargets(service, d.Targets(service))
-	}
-	return version, changes
+	return due, toldTargets{version, d.wanted.changes, d.wanted.news}
 }
 
 // runOffers hands bundles that may come into force to the sink, in order, as
--- a/directory/serve.go
+++ b/directory/serve.go
@@ -26,8 +26,9 @@
 	peer   Peer
 	role   peerpb.Role
 	stream Stream
-	// kick wakes the sender for pending frames.
-	kick chan struct{}
+	// kick wakes the sender for pending frames, prompt also from the pause
+	// between two updates.
+	kick, prompt chan struct{}
 
 	mu      sync.Mutex
 	pending []*peerpb.DirectoryFrame
@@ -63,6 +64,7 @@
 		role:    join.GetRole(),
 		stream:  stream,
 		kick:    make(chan struct{}, 1),
+		prompt:  make(chan struct{}, 1),
 		bundle:  join.GetBundleVersion(),
 		primary: join.GetPrimary(),
 	}
@@ -154,6 +156,7 @@
 	case *peerpb.DirectoryFrame_Subscribe:
 		if s.role == peerpb.Role_ROLE_NODE {
 			s.subscribe(Filter{Services: setOf(m.Subscribe.GetServices())})
+			poke(s.prompt)
 		}
 	case *peerpb.DirectoryFrame_Bundle:
 		return s.d.holdBundle(m.Bundle)
@@ -257,14 +260,10 @@
 	s.wake()
 }
 
-func (s *subscriber) wake() {
-	select {
-	case s.kick <- struct{}{}:
-	default:
-	}
-}
+func (s *subscriber) wake() { poke(s.kick) }
 
-// send brings the other side up to date, at most once for each Push interval.
+// send brings the other side up to date, at most once for each Push interval
+// but for what it subscribes to: a request may wait for that.
 func (s *subscriber) send(ctx context.Context) error {
 	for ctx.Err() == nil {
 		changed := s.d.watch()
@@ -273,7 +272,7 @@
 				return err
 			}
 		}
-		sleep(ctx, s.d.config.Timing.Push)
+		sleepUnless(ctx, s.d.config.Timing.Push, s.prompt)
 		select {
 		case <-ctx.Done():
 		case <-changed:
--- a/directory/site_test.go
+++ b/directory/site_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,6 +21,7 @@
 	"auburngap/peer/peerpb"
 	"auburngap/platform"
 	"auburngap/platform/fake"
+	"auburngap/route"
 )
 
 // site is a fleet in one process: directories joined by in-memory streams, and
@@ -54,6 +56,7 @@
 type life struct {
 	d      *directory.Directory
 	sink   *sink
+	told   *told
 	ctx    context.Context
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -92,7 +95,7 @@
 }
 
 func (m *member) start() {
-	l := &life{sink: &sink{}, done: make(chan struct{})}
+	l := &life{sink: &sink{}, told: &told{services: make(map[string][]int)}, done: make(chan struct{})}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	client := platformOf{m, l}
 	l.d = directory.New(directory.Config{
@@ -105,6 +108,7 @@
 		Bundles:  l.sink,
 		Source:   source{client},
 
+		OnTargets:  l.told.take,
 		ProofSince: l.sink.ProofSince,
 		Zones:      func() []string { return m.site.zones },
 		Logger:     zap.NewNop(),
@@ -268,6 +272,25 @@
 	return highest, fmt.Appendf(nil, "%d>%d", version, highest), nil
 }
 
+// told holds, for each service, the numbers of backend servers that a node was
+// told of, in their order.
+type told struct {
+	mu       sync.Mutex
+	services map[string][]int
+}
+
+func (t *told) take(service string, targets []route.Target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.services[service] = append(t.services[service], len(targets))
+}
+
+func (t *told) of(service string) []int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.services[service])
+}
+
 const headKey = "bundle/head"
 
 // source reads bundles whose head is a decimal version.
--- a/directory/slot.go
+++ b/directory/slot.go
@@ -139,6 +139,7 @@
 	d.mu.Lock()
 	d.slot = slot
 	d.shelf.caughtUp = false
+	d.relaySince, d.wanted.informed = time.Now(), false
 	d.hearSelf(time.Now())
 	var orphans []*subscriber
 	if slot == noSlot {
--- a/node/bundles.go
+++ b/node/bundles.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,9 +20,15 @@
 	n.subscribe(index)
 }
 
-// subscribe asks for the backend servers of the services that this node calls.
+// subscribe follows the services that this VM's own service calls.
 func (n *Node) subscribe(index *bundle.Index) {
-	n.directory.SetServices(n.calledServices(index))
+	var called []string
+	if announced, ok := n.announced.Current(); ok {
+		if own, ok := index.Service(announced.Service); ok {
+			called = own.Calls
+		}
+	}
+	n.subscriptions.keep(called)
 }
 
 // refuseBundle notes an offer that is forged or broken.
@@ -53,22 +58,6 @@
 	}
 }
 
-// calledServices returns the services of the entry routes and those that this
-// VM's own service calls.
-func (n *Node) calledServices(index *bundle.Index) []string {
-	var services []string
-	for _, route := range index.Bundle.Routes {
-		services = append(services, route.Service)
-	}
-	if announced, ok := n.announced.Current(); ok {
-		if own, ok := index.Service(announced.Service); ok {
-			services = append(services, own.Calls...)
-		}
-	}
-	slices.Sort(services)
-	return slices.Compact(services)
-}
-
 // zones returns the availability zones of the site.
 func (n *Node) zones() []string {
 	index := n.bundles.Index()
--- a/node/control.go
+++ b/node/control.go
@@ -111,13 +111,11 @@
 	return status
 }
 
-// targets returns the backend servers that this node may call, by service.
+// targets returns the backend servers of the services that this node follows.
 func (n *Node) targets() map[string][]route.Target {
 	targets := make(map[string][]route.Target)
-	if index := n.bundles.Index(); index != nil {
-		for _, service := range n.calledServices(index) {
-			targets[service] = n.directory.Targets(service)
-		}
+	for _, service := range n.subscriptions.services() {
+		targets[service] = n.directory.Targets(service)
 	}
 	return targets
 }
--- a/node/node.go
+++ b/node/node.go
@@ -60,9 +60,11 @@
 	// firstBundle holds the bundle by which the shards are kept.
 	firstBundle chan *bundle.Index
 	routes      *routes
-	local       *localHandler
-	tokens      *backend.Tokens
-	pool        *peer.Pool
+	// subscriptions are the services that this node follows.
+	subscriptions *subscriptions
+	local         *localHandler
+	tokens        *backend.Tokens
+	pool          *peer.Pool
 
 	backendClient *backend.Client
 	callers       *caller.Server
@@ -121,6 +123,7 @@
 	group.Go(func() error { return n.peers.Serve(serving, peers) })
 	group.Go(func() error { return n.directory.Run(serving) })
 	group.Go(func() error { return n.shards.Run(serving, n.firstBundle) })
+	group.Go(func() error { return n.subscriptions.Run(serving) })
 	group.Go(func() error { return n.membership.Run(serving) })
 	group.Go(func() error { return n.gaugeUntil(serving) })
 	group.Go(func() error {
--- a/node/router.go
+++ b/node/router.go
@@ -25,10 +25,15 @@
 	routes *routes
 	gate   *gate
 	policy *retry.Policy
+	// subscriptions knows which services are listed.
+	subscriptions *subscriptions
 }
 
 // Serve implements request.Handler.
 func (r *router) Serve(ctx context.Context, call *request.Call) (*request.Answer, error) {
+	if refusal := r.subscriptions.await(ctx, call); refusal != nil {
+		return nil, refusal
+	}
 	budget := retry.NewBudget(call.Context.RetryBudget)
 	picker := r.routes.of(call.Service)
 	var tried *route.Choice
--- a/node/routes.go
+++ b/node/routes.go
@@ -56,6 +56,13 @@
 	return p
 }
 
+// drop forgets the picker of a service; calls under way end with it.
+func (r *routes) drop(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.byService, service)
+}
+
 // pick chooses a backend server, not the one tried before where there is one.
 func (p *servicePicker) pick(tried *route.Choice) (route.Choice, bool) {
 	p.mu.Lock()
--- a/node/wire.go
+++ b/node/wire.go
@@ -43,6 +43,7 @@
 	n.tokens = backend.NewTokens()
 	n.pool = peer.NewPool(peer.PoolConfig{Self: n.identity, TLS: peerTLS, Logger: n.logger})
 	n.routes = newRoutes(n.identity.VM, n.identity.Zone)
+	n.subscriptions = newSubscriptions(n.routes)
 	n.directory = directory.New(directory.Config{
 		VM:             n.identity.VM,
 		Zone:           n.identity.Zone,
@@ -56,9 +57,10 @@
 		Verify:         n.bundles.Verify,
 		ProofSince:     n.bundles.ProofSince,
 		Zones:          n.zones,
-		OnTargets:      n.routes.Update,
+		OnTargets:      n.subscriptions.Update,
 		Logger:         n.logger,
 	})
+	n.subscriptions.directory = n.directory
 }
 
 // wireDecisions makes what decides on calls.
@@ -80,6 +82,8 @@
 		routes: n.routes,
 		gate:   n.gate,
 		policy: retry.NewPolicy(retry.Config{}),
+
+		subscriptions: n.subscriptions,
 	}
 	n.shards = newShards(shardsConfig{
 		Self:      n.identity,
