Keep at most 128 sessions that are not in use

Cause: a pool kept a session to every node that it was ever asked for, and an entry of each address that it ever failed to reach. An entry node's sessions could come to 30,000 x 31 KB.

Above the bound the least recently used session is closed that carries no call, that nobody is about to use, and that no control message went over for a minute: relays and shard owners stay. Sessions in use may exceed the bound; the pool comes back to it with the next call. container/list, as no declared dependency has such a list.

Tests: without the look at streams in use TestPoolKeepsSessionsInUse and TestPoolBoundUnderLoad fail, without the count of those about to use a session TestPoolBoundUnderLoad, without the time of control messages TestPoolKeepsControlSessions.

--- a/peer/call_client.go
+++ b/peer/call_client.go
@@ -15,11 +15,7 @@
 // *request.Refusal. The context must stay live until the answer's body is
 // closed; its end cancels the call at the other node too.
 func (p *Pool) Call(ctx context.Context, address netip.AddrPort, call *request.Call) (*request.Answer, error) {
-	session, err := p.session(ctx, address)
-	if err != nil {
-		return nil, request.RefuseUnsent(call, request.CauseNoBackend, 0)
-	}
-	stream, err := session.callStream(ctx)
+	session, stream, err := p.callStream(ctx, address)
 	if err != nil {
 		return nil, request.RefuseUnsent(call, request.CauseNoBackend, 0)
 	}
--- a/peer/idle.go
+++ b/peer/idle.go
@@ -60,3 +60,10 @@
 	stream.used = time.Now()
 	i.streams = append(i.streams, stream)
 }
+
+// count returns the number of idle streams.
+func (i *idleStreams) count() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return len(i.streams)
+}
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -1,11 +1,13 @@
 package peer
 
 import (
+	"container/list"
 	"context"
 	"crypto/tls"
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -18,6 +20,13 @@
 	dialTimeout = 2 * time.Second
 	// redialAfter is the time for which a failed dial is not repeated.
 	redialAfter = 200 * time.Millisecond
+	// defaultSessions is the number of sessions that a pool keeps.
+	defaultSessions = 128
+	// controlTime is how long a session is kept that a control message went over:
+	// relays and shard owners are spoken to again and again.
+	controlTime = time.Minute
+	// shrinkInterval is the time between two tries to come back to the bound.
+	shrinkInterval = time.Second
 )
 
 // PoolConfig configures a Pool.
@@ -26,28 +35,47 @@
 	// TLS is nil where sessions are plain.
 	TLS    *tls.Config
 	Logger *zap.Logger
+	// Sessions is the number of sessions above which idle ones are closed, the
+	// least recently used first; zero takes the default of 128. Those in use may
+	// be more.
+	Sessions int
 }
 
-// Pool holds one session to each node that was asked for.
+// Pool holds one session to each node that was asked for of late.
 type Pool struct {
 	config PoolConfig
 	dialer net.Dialer
 
 	mu      sync.Mutex
 	entries map[netip.AddrPort]*poolEntry
-	closed  bool
+	// recent orders the entries, the one used last first.
+	recent list.List
+	shrunk time.Time
+	closed bool
 }
 
 // poolEntry is the session to one address; dialled is closed when a dial ends.
 type poolEntry struct {
+	address netip.AddrPort
 	session *Session
 	err     error
 	failed  time.Time
 	dialled chan struct{}
+
+	// place is where the entry stands among the recent ones.
+	place *list.Element
+	// users counts those who are about to use the session. It grows under the
+	// pool's lock alone.
+	users atomic.Int64
+	// controlled is when a control message last went over the session.
+	controlled time.Time
 }
 
 // NewPool returns an empty pool.
 func NewPool(config PoolConfig) *Pool {
+	if config.Sessions == 0 {
+		config.Sessions = defaultSessions
+	}
 	return &Pool{
 		config:  config,
 		dialer:  net.Dialer{Timeout: dialTimeout},
@@ -55,18 +83,33 @@
 	}
 }
 
-// OpenStream opens a stream to the node at address, over a new session where
-// there is none. It returns ErrUnreachable where nothing can have been sent.
+// OpenStream opens a stream for control messages to the node at address, over
+// a new session where there is none. It returns ErrUnreachable where nothing
+// can have been sent.
 func (p *Pool) OpenStream(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
-	session, err := p.session(ctx, address)
+	entry, err := p.acquire(ctx, address, true)
 	if err != nil {
 		return nil, err
 	}
-	return session.OpenStream(ctx)
+	defer entry.release()
+	return entry.session.OpenStream(ctx)
+}
+
+// callStream returns a stream for one call to the node at address.
+func (p *Pool) callStream(ctx context.Context, address netip.AddrPort) (*Session, *callStream, error) {
+	entry, err := p.acquire(ctx, address, false)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer entry.release()
+	stream, err := entry.session.callStream(ctx)
+	return entry.session, stream, err
 }
 
-func (p *Pool) session(ctx context.Context, address netip.AddrPort) (*Session, error) {
-	entry, dial, err := p.entry(address)
+// acquire returns the entry of an address with its session, which stays open
+// until a stream was opened and the entry released.
+func (p *Pool) acquire(ctx context.Context, address netip.AddrPort, control bool) (*poolEntry, error) {
+	entry, dial, err := p.entry(address, control)
 	if err != nil {
 		return nil, err
 	}
@@ -75,25 +118,45 @@
 	}
 	select {
 	case <-entry.dialled:
-		return entry.session, entry.err
+		err = entry.err
 	case <-ctx.Done():
-		return nil, ErrUnreachable.Wrap(ctx.Err(), "dial %s", address)
+		err = ErrUnreachable.Wrap(ctx.Err(), "dial %s", address)
 	}
+	if err != nil {
+		entry.release()
+		return nil, err
+	}
+	return entry, nil
 }
 
-// entry returns the live entry of an address, and whether the caller has to dial.
-func (p *Pool) entry(address netip.AddrPort) (*poolEntry, bool, error) {
+func (e *poolEntry) release() { e.users.Add(-1) }
+
+// entry returns the live entry of an address, with its user counted, and
+// whether the caller has to dial.
+func (p *Pool) entry(address netip.AddrPort, control bool) (*poolEntry, bool, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return nil, false, ErrUnreachable.New("pool is closed")
 	}
-	if entry, ok := p.entries[address]; ok && entry.usable(time.Now()) {
-		return entry, false, nil
+	now := time.Now()
+	entry, ok := p.entries[address]
+	fresh := !ok || !entry.usable(now)
+	if fresh {
+		if ok {
+			p.remove(entry)
+		}
+		entry = &poolEntry{address: address, dialled: make(chan struct{})}
+		entry.place = p.recent.PushFront(entry)
+		p.entries[address] = entry
+	}
+	entry.users.Add(1)
+	if control {
+		entry.controlled = now
 	}
-	entry := &poolEntry{dialled: make(chan struct{})}
-	p.entries[address] = entry
-	return entry, true, nil
+	p.recent.MoveToFront(entry.place)
+	p.shrink(now, fresh)
+	return entry, fresh, nil
 }
 
 // usable tells whether an entry need not be dialled (again).
@@ -149,11 +212,12 @@
 
 // Peer returns what the node at address said in its hello.
 func (p *Pool) Peer(ctx context.Context, address netip.AddrPort) (Identity, error) {
-	session, err := p.session(ctx, address)
+	entry, err := p.acquire(ctx, address, true)
 	if err != nil {
 		return Identity{}, err
 	}
-	return session.Peer, nil
+	defer entry.release()
+	return entry.session.Peer, nil
 }
 
 // Close ends all sessions.
