--- a/node/commitments_test.go
+++ b/node/commitments_test.go
@@ -49,7 +49,7 @@
 	return f(ctx, call)
 }
 
-func answering(body string) handlerFunc {
+func answeringWith(body string) handlerFunc {
 	return func(ctx context.Context, _ *request.Call) (*request.Answer, error) {
 		if ctx.Err() != nil {
 			return nil, request.AsRefusal(ctx.Err())
@@ -91,8 +91,8 @@
 		recorded []request.Outcome
 		body     string
 	}{
-		{"answered", answering("paid"), []request.Outcome{request.Answered}, "paid"},
-		{"long answer", answering(long), []request.Outcome{request.Answered}, long},
+		{"answered", answeringWith("paid"), []request.Outcome{request.Answered}, "paid"},
+		{"long answer", answeringWith(long), []request.Outcome{request.Answered}, long},
 		{"failed", refusing(request.CauseBackendFailed, request.Unknown), []request.Outcome{request.Unknown}, ""},
 		// The entry node may use the same permission at another server.
 		{"not run", refusing(request.CauseNoBackend, request.NotRun), nil, ""},
@@ -151,7 +151,7 @@
 // A repeat that is refused gets the answer of the run that there was.
 func TestRefusedRepeatGetsTheAnswer(t *testing.T) {
 	home := &fakeHome{}
-	d := &dispatcher{client: clientOf(home), next: answering("paid")}
+	d := &dispatcher{client: clientOf(home), next: answeringWith("paid")}
 	_, err := d.Serve(t.Context(), payment(t))
 	assert.NilError(t, err)
 	home.verdict = commitment.Replay
