Begin the labels of burns beyond the objective's line

Cause: seen on the rendered page of a demo run: the dashed line of the objective crossed the labels of all bars that stay below it. Ruled out: a background behind labels, which the plot library does not draw.

--- a/report/chart.go
+++ b/report/chart.go
@@ -161,6 +161,8 @@
 	value float64
 	label string
 	color color.Color
+	// labelFrom is the least value at which the label begins.
+	labelFrom float64
 }
 
 // bars draws horizontal bars, the first at the top, each with its label.
@@ -205,7 +207,7 @@
 func addLabels(p *plot.Plot, list []bar, largest float64) error {
 	labels := plotter.XYLabels{}
 	for i, b := range list {
-		labels.XYs = append(labels.XYs, plotter.XY{X: b.value + largest*0.01, Y: float64(len(list) - 1 - i)})
+		labels.XYs = append(labels.XYs, plotter.XY{X: math.Max(b.value, b.labelFrom) + largest*0.01, Y: float64(len(list) - 1 - i)})
 		labels.Labels = append(labels.Labels, b.label)
 	}
 	drawn, err := plotter.NewLabels(labels)
--- a/report/charts.go
+++ b/report/charts.go
@@ -125,7 +125,8 @@
 			shade = alarm
 		}
 		label := fmt.Sprintf("%.2f  (%s good of %d)", row.Burn, percent(row.GoodShare), row.Requests)
-		list = append(list, bar{row.Name, row.Burn, label, shade})
+		// The line of the objective crosses no label.
+		list = append(list, bar{name: row.Name, value: row.Burn, label: label, color: shade, labelFrom: burnAlarm})
 	}
 	title += " over " + windowName(s.Windows[len(s.Windows)-1])
 	chart, err := bars(title, "burn: failures over failures allowed; 1 just meets the objective", list)
@@ -157,8 +158,8 @@
 	var list []bar
 	for _, row := range s.Group(GroupService) {
 		list = append(list,
-			bar{row.Name + " p50", float64(row.P50Micros) / 1000, millis(row.P50Micros), palette[2]},
-			bar{row.Name + " p99", float64(row.P99Micros) / 1000, millis(row.P99Micros), palette[0]})
+			bar{name: row.Name + " p50", value: float64(row.P50Micros) / 1000, label: millis(row.P50Micros), color: palette[2]},
+			bar{name: row.Name + " p99", value: float64(row.P99Micros) / 1000, label: millis(row.P99Micros), color: palette[0]})
 	}
 	chart, err := bars("Latency of good requests by service", "milliseconds", list)
 	return chart, len(list), err
