--- a/node/shard_commitments.go
+++ b/node/shard_commitments.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 
 	"google.golang.org/protobuf/proto"
 
@@ -19,11 +20,7 @@
 		return s.ledgers.HandleBegin(ctx, begin), nil
 	}
 	answer := &peerpb.BeginAnswer{}
-	if err := peer.Ask(ctx, s.config.Pool, address, peer.KindBegin, begin, answer); err != nil {
-		s.refresh()
-		return nil, err
-	}
-	return answer, nil
+	return answer, s.askOwner(ctx, address, peer.KindBegin, begin, answer)
 }
 
 // Finish implements commitment.Peers.
@@ -37,11 +34,17 @@
 		return s.ledgers.HandleFinish(ctx, finish), nil
 	}
 	answer := &peerpb.FinishAnswer{}
-	if err := peer.Ask(ctx, s.config.Pool, address, peer.KindFinish, finish, answer); err != nil {
+	return answer, s.askOwner(ctx, address, peer.KindFinish, finish, answer)
+}
+
+// askOwner sends a message to a shard's owner; one that is not reached may have
+// lost the shard.
+func (s *shards) askOwner(ctx context.Context, address netip.AddrPort, kind peer.Kind, message, answer proto.Message) error {
+	err := peer.Ask(ctx, s.config.Pool, address, kind, message, answer)
+	if err != nil {
 		s.refresh()
-		return nil, err
 	}
-	return answer, nil
+	return err
 }
 
 func (s *shards) onBegin(ctx context.Context, _ peer.Identity, payload []byte) (proto.Message, error) {
