Let owners of rates and nodes check their invariants as they run

The bound on rates was asserted in tests alone. An owner now checks after each report and draw that nothing is negative, that what it holds and has lent stays within the burst, that its own lending, counted by a Meter that knows nothing of what is free, stays within burst and rate, that loans add up, and that a borrowed loan is lent once; a node that tokens are spent from live loans, each once, that a loan is counted once and that a reported spend stays spent. After a change of limits what was held counts until its loans are over.

Four of the nine planted faults are found by the program itself (go test -v -run Program ./share); the other five need a view of several VMs. TestPlantedFaultsAreFound goes on to look at the checks from outside alone.

--- a/node/shards.go
+++ b/node/shards.go
@@ -67,8 +67,12 @@
 
 func newShards(config shardsConfig) *shards {
 	s := &shards{config: config, kept: make(map[int]*peerpb.ShardState)}
-	s.rates = share.NewClient(share.ClientConfig{Zone: config.Self.Zone, Peers: s, Clock: bootTime})
-	s.bank = share.NewOwner(share.OwnerConfig{Zone: config.Self.Zone, Gate: s, Peers: s, Clock: bootTime})
+	s.rates = share.NewClient(share.ClientConfig{
+		Zone: config.Self.Zone, Peers: s, Clock: bootTime, Violated: config.Violated,
+	})
+	s.bank = share.NewOwner(share.OwnerConfig{
+		Zone: config.Self.Zone, Gate: s, Peers: s, Clock: bootTime, Violated: config.Violated,
+	})
 	s.commitments = commitment.NewClient(commitment.ClientConfig{Peers: s})
 	s.ledgers = commitment.NewOwner(commitment.OwnerConfig{
 		Zone:  config.Self.Zone,
--- a/share/account.go
+++ b/share/account.go
@@ -26,10 +26,17 @@
 	lots      []*lot
 	demand    demand
 	peers     map[string]*peer
+	// meter counts what is lent of the zone's own tokens.
+	meter Meter
+	// formerHeld was held at a change of limits, which may go on until formerUntil.
+	formerHeld  float64
+	formerUntil time.Duration
+	violated    func(invariant string)
 }
 
-func newAccount(terms Terms, accrueFrom time.Duration) *account {
+func newAccount(terms Terms, accrueFrom time.Duration, violated func(string)) *account {
 	return &account{
+		violated:  violated,
 		terms:     terms,
 		at:        accrueFrom,
 		loans:     make(map[LoanID]*loan),
@@ -60,7 +67,9 @@
 	if now <= a.at {
 		return
 	}
-	added := a.limits.rateAt(a.at) * (1 - a.terms.ClockBound) * (now - a.at).Seconds()
+	rate := a.limits.rateAt(a.at)
+	a.meter.SetRate(rate, a.at)
+	added := rate * (1 - a.terms.ClockBound) * (now - a.at).Seconds()
 	a.free = min(a.free+added, a.room(a.at))
 	a.at = now
 }
@@ -86,20 +95,26 @@
 func (a *account) remove(id LoanID, l *loan) {
 	a.lent -= l.ownUnspent()
 	delete(a.loans, id)
-	if len(a.loans) == 0 {
-		a.lent = 0
+	if len(a.loans) > 0 {
+		return
+	}
+	if math.Abs(a.lent) > roundingPart*(1+l.own) {
+		a.violated(invariantLoansAddUp)
 	}
+	a.lent = 0
 }
 
 // report takes in what a borrower says of a loan.
-func (a *account) report(r Report) {
+func (a *account) report(r Report, now time.Duration) {
 	l, ok := a.loans[r.Loan]
 	if !ok {
 		return
 	}
 	a.lent -= l.settle(r.Spent)
 	if r.Closed {
-		a.free += l.unspent()
+		unspent := l.unspent()
+		a.free += unspent
+		a.meter.GiveBack(unspent, now)
 		a.remove(r.Loan, l)
 		return
 	}
@@ -152,12 +167,32 @@
 func (a *account) keep(l *loan, ttl time.Duration, now time.Duration) {
 	a.free -= l.own
 	a.lent += l.own
+	a.meter.Spend(l.own, now)
 	l.ttl = ttl
 	l.lapse = now + a.terms.stretch(ttl)
 	a.loans[l.id] = l
 	a.nextLapse = min(a.nextLapse, l.lapse)
 }
 
+// changeLimits puts a new plan into force. What is held already may exceed a
+// shrunken burst until its loans are over.
+func (a *account) changeLimits(next plan, now time.Duration) {
+	a.advance(now)
+	a.limits.change(next, now, a.terms.GrowthDelay)
+	a.free = min(a.free, a.room(now))
+	a.noteHeld()
+	a.meter = *NewMeter(a.limits.rateAt(now))
+	a.meter.at = now
+}
+
+// noteHeld allows for what is held now until its loans are over.
+func (a *account) noteHeld() {
+	a.formerHeld, a.formerUntil = a.free+a.lent, 0
+	for _, l := range a.loans {
+		a.formerUntil = max(a.formerUntil, l.lapse)
+	}
+}
+
 // wait estimates when a whole token will be there.
 func (a *account) wait(now time.Duration) time.Duration {
 	missing := 1 - math.Mod(max(0, a.available(now)), 1)
--- a/share/bank.go
+++ b/share/bank.go
@@ -29,6 +29,8 @@
 	Terms    Terms
 	// State is what the predecessor handed over; nil where it did not.
 	State *peerpb.ShareState
+	// Violated is told the name of an invariant that does not hold.
+	Violated func(invariant string)
 }
 
 // Bank is the owner of a shard: it accrues the zone's share of each workspace
@@ -45,6 +47,7 @@
 // NewBank returns a bank without accounts; Apply opens them.
 func NewBank(config BankConfig) *Bank {
 	config.Terms = config.Terms.withDefaults()
+	config.Violated = orIgnore(config.Violated)
 	return &Bank{config: config, accounts: make(map[string]*account), sequence: config.FirstSequence}
 }
 
@@ -85,16 +88,15 @@
 		b.accounts[w.Name] = b.openAccount(w.Name, next, before, now)
 		return
 	}
-	a.advance(now)
-	a.limits.change(next, now, b.config.Terms.GrowthDelay)
-	a.free = min(a.free, a.room(now))
+	a.changeLimits(next, now)
+	a.check(now)
 }
 
 func (b *Bank) openAccount(workspace string, p plan, before *bundle.Index, now time.Duration) *account {
 	if state := b.handedOver(workspace, before); state != nil {
-		return restoreAccount(b.config.Terms, p, state, now)
+		return b.restoreAccount(p, state, now)
 	}
-	a := newAccount(b.config.Terms, b.accrueFrom(before, now))
+	a := newAccount(b.config.Terms, b.accrueFrom(before, now), b.config.Violated)
 	a.limits = limits{plan: p}
 	return a
 }
@@ -118,9 +120,10 @@
 	}
 	a.advance(now)
 	for _, r := range reports {
-		a.report(r)
+		a.report(r, now)
 	}
 	a.free = min(a.free, a.room(now))
+	a.check(now)
 }
 
 // Draw lends tokens, whatever it has of what is needed. The loan is
@@ -133,10 +136,13 @@
 		return Grant{ID: d.ID}, false
 	}
 	a.advance(now)
+	lend := b.lendToBank
 	if d.Whole {
-		return b.lendToNode(a, d, now), true
+		lend = b.lendToNode
 	}
-	return b.lendToBank(a, d, now), true
+	grant := lend(a, d, now)
+	a.check(now)
+	return grant, true
 }
 
 func (b *Bank) lendToNode(a *account, d Draw, now time.Duration) Grant {
--- a/share/bench_test.go
+++ b/share/bench_test.go
@@ -79,3 +79,18 @@
 		})
 	}
 }
+
+// BenchmarkChecks measures what an owner checks of itself at one draw.
+func BenchmarkChecks(b *testing.B) {
+	a := newAccount(Terms{}.withDefaults(), 0, func(invariant string) { b.Fatal(invariant) })
+	a.limits = limits{plan: plan{rate: 1e6, burst: 1e6, share: 1}}
+	b.ReportAllocs()
+	now := time.Duration(0)
+	for b.Loop() {
+		now += 10 * time.Microsecond
+		a.meter.SetRate(1e6, now)
+		a.meter.Spend(1, now)
+		a.check(now)
+		a.check(now)
+	}
+}
--- a/share/client.go
+++ b/share/client.go
@@ -23,6 +23,8 @@
 	Zone  string
 	Peers Peers
 	Clock Clock
+	// Violated is told the name of an invariant that does not hold.
+	Violated func(invariant string)
 }
 
 // Ticket is a token that a request has spent.
@@ -52,7 +54,11 @@
 
 // NewClient returns a client that refuses everything until Apply.
 func NewClient(config ClientConfig) *Client {
-	return &Client{config: config, wallet: NewWallet(config.Zone), rounds: make(map[string]*round)}
+	return &Client{
+		config: config,
+		wallet: NewWallet(WalletConfig{Zone: config.Zone, Violated: config.Violated}),
+		rounds: make(map[string]*round),
+	}
 }
 
 // Apply puts a bundle into force.
--- a/share/collector_test.go
+++ b/share/collector_test.go
@@ -35,7 +35,7 @@
 // A node asks its own zone's owner, then the collector, and where that gives
 // no answer its own zone's owner to collect.
 func TestWalletTurnsToTheCollectorAndBack(t *testing.T) {
-	wallet := NewWallet("zone0")
+	wallet := NewWallet(WalletConfig{Zone: "zone0"})
 	wallet.Apply(testIndex(4, 10, 8, nil))
 	now := time.Second
 	ask := func(zone string, collect bool, need float64) Draw {
--- a/share/handover.go
+++ b/share/handover.go
@@ -62,13 +62,15 @@
 
 // restoreAccount goes on with a predecessor's account. Times left are
 // stretched, since they were measured by another clock.
-func restoreAccount(terms Terms, p plan, state *peerpb.AccountState, now time.Duration) *account {
-	a := newAccount(terms, now+terms.stretch(fromMicros(state.WaitMicros)))
+func (b *Bank) restoreAccount(p plan, state *peerpb.AccountState, now time.Duration) *account {
+	terms := b.config.Terms
+	a := newAccount(terms, now+terms.stretch(fromMicros(state.WaitMicros)), b.config.Violated)
 	a.limits = limits{plan: p, former: state.Share, growAt: now + terms.GrowthDelay}
 	for _, l := range state.Loans {
 		a.restoreLoan(l, now)
 	}
 	a.free = min(state.Free, a.room(now))
+	a.noteHeld()
 	return a
 }
 
--- a/share/lot.go
+++ b/share/lot.go
@@ -49,6 +49,9 @@
 			kept = append(kept, l)
 			continue
 		}
+		if l.free < -roundingPart || l.lentOut() < -roundingPart*(1+l.amount) {
+			a.violated(invariantLotOnce)
+		}
 		closed := l.closable(now)
 		if closed || l.spent > l.told {
 			reports = append(reports, Report{Loan: l.id, Spent: l.spent, Closed: closed})
--- a/share/meter.go
+++ b/share/meter.go
@@ -24,6 +24,12 @@
 	m.worst = max(m.worst, m.excess)
 }
 
+// GiveBack takes tokens back that were counted as spent.
+func (m *Meter) GiveBack(tokens float64, now time.Duration) {
+	m.drain(now)
+	m.excess = max(0, m.excess-tokens)
+}
+
 // SetRate changes the rate from now on.
 func (m *Meter) SetRate(rate float64, now time.Duration) {
 	m.drain(now)
--- a/share/owner.go
+++ b/share/owner.go
@@ -38,6 +38,8 @@
 	Peers Peers
 	Clock Clock
 	Terms Terms
+	// Violated is told the name of an invariant that does not hold.
+	Violated func(invariant string)
 }
 
 // Owner lends the tokens of the shards that its VM owns. It is safe for
@@ -89,6 +91,7 @@
 	bank := NewBank(BankConfig{
 		Zone: o.config.Zone, Shard: shard, Epoch: epoch, GainedAt: now,
 		Terms: o.config.Terms, State: state, FirstSequence: uint64(time.Now().UnixNano()),
+		Violated: o.config.Violated,
 	})
 	if o.index != nil {
 		bank.Apply(o.index, now)
@@ -216,12 +219,7 @@
 }
 
 func (d *desk) queue(workspace string) *queue {
-	q, ok := d.waiting[workspace]
-	if !ok {
-		q = &queue{}
-		d.waiting[workspace] = q
-	}
-	return q
+	return valueOf(d.waiting, workspace)
 }
 
 func (d *desk) leave(workspace string, w *waiter) {
--- a/share/purse.go
+++ b/share/purse.go
@@ -49,11 +49,12 @@
 
 // held is a loan in a wallet.
 type held struct {
-	id    LoanID
-	zone  string
-	left  uint32
-	spent uint32
-	told  uint32
+	id     LoanID
+	zone   string
+	amount uint32
+	left   uint32
+	spent  uint32
+	told   uint32
 	// reports counts the reports that told of spends.
 	reports uint32
 	expires time.Duration
@@ -92,6 +93,7 @@
 	listed       bool
 	refusedUntil time.Duration
 	retryAfter   time.Duration
+	violated     func(invariant string)
 }
 
 // take spends a token of the loan that ends first.
@@ -112,6 +114,9 @@
 	h := &p.loans[best]
 	h.left--
 	h.spent++
+	if h.expires <= now || h.left+h.spent != h.amount {
+		p.violated(invariantLiveLoan)
+	}
 	return Spend{zone: h.zone, loan: h.id, reports: h.reports}, true
 }
 
@@ -126,6 +131,9 @@
 		if h.reports != s.reports || h.expires <= now {
 			return false
 		}
+		if h.spent <= h.told {
+			p.violated(invariantReportedKept)
+		}
 		h.spent--
 		h.left++
 		return true
@@ -200,6 +208,17 @@
 	if p.count == maxHeld || grant.Tokens < 1 {
 		return
 	}
-	p.loans[p.count] = held{id: grant.Loan, zone: p.pendingZone, left: uint32(grant.Tokens), expires: expires}
+	p.checkUnknown(grant.Loan)
+	tokens := uint32(grant.Tokens)
+	p.loans[p.count] = held{id: grant.Loan, zone: p.pendingZone, amount: tokens, left: tokens, expires: expires}
 	p.count++
 }
+
+// checkUnknown checks that a loan that has come is not here already.
+func (p *purse) checkUnknown(id LoanID) {
+	for i := range p.loans[:p.count] {
+		if p.loans[i].id == id && p.loans[i].zone == p.pendingZone {
+			p.violated(invariantLoanOnce)
+		}
+	}
+}
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -205,6 +206,9 @@
 		}
 		kinds[i].do(w)
 		w.steps = append(w.steps, kinds[i].name)
+		if w.fault == noFault && len(w.violations) > 0 {
+			return fmt.Errorf("the program found: %s", w.violations[0])
+		}
 		if err := w.checkHeld(); err != nil {
 			return err
 		}
@@ -215,6 +219,8 @@
 	return nil
 }
 
+// runOnce ends at the first step after which a check from outside fails or,
+// where no fault is planted, the program itself has found an invariant broken.
 func runOnce(choose chooser, f fault, steps int) (*world, error) {
 	w := newWorld(choose, f, 1+choose.Intn(4), 1+choose.Intn(5))
 	kinds := actions
@@ -280,6 +286,32 @@
 	}
 }
 
+// A running node must count some of them by itself.
+func TestPlantedFaultsAreFoundByTheProgram(t *testing.T) {
+	faults := []struct {
+		name      string
+		fault     fault
+		invariant string
+	}{
+		{"lender sends before it subtracts", faultSendBeforeSubtract, invariantLendsInRate},
+		{"reported spend is given back", faultGiveBackReported, invariantReportedKept},
+		{"spends of one loan are counted twice", faultReportTwice, invariantLoansAddUp},
+		{"answer without a pending draw is counted", faultAcceptUnaskedAnswer, invariantLoanOnce},
+	}
+	for _, c := range faults {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range uint64(50) {
+				w, _ := runOnce(seeded(seed), c.fault, 1500)
+				if slices.Contains(w.violations, c.invariant) {
+					t.Logf("seed %d, step %d", seed, len(w.steps))
+					return
+				}
+			}
+			t.Error("not found")
+		})
+	}
+}
+
 // TestSoak runs for SOAK_MINUTES from SOAK_SEED on.
 func TestSoak(t *testing.T) {
 	minutes, err := strconv.ParseFloat(os.Getenv("SOAK_MINUTES"), 64)
--- a/share/shortage.go
+++ b/share/shortage.go
@@ -203,10 +203,15 @@
 }
 
 func (a *account) peer(zone string) *peer {
-	p, ok := a.peers[zone]
+	return valueOf(a.peers, zone)
+}
+
+// valueOf returns the value of a key, which it makes where there is none.
+func valueOf[V any](values map[string]*V, key string) *V {
+	v, ok := values[key]
 	if !ok {
-		p = &peer{}
-		a.peers[zone] = p
+		v = new(V)
+		values[key] = v
 	}
-	return p
+	return v
 }
--- a/share/site_test.go
+++ b/share/site_test.go
@@ -95,6 +95,8 @@
 	return s
 }
 
+func (s *site) violated(invariant string) { panic("the program found: " + invariant) }
+
 func (s *site) clock() time.Duration { return time.Since(s.start) }
 
 func (s *site) newServer(zone string) *server {
@@ -105,9 +107,9 @@
 
 func (v *server) boot() {
 	v.dead = false
-	v.client = NewClient(ClientConfig{Zone: v.zone, Peers: v, Clock: v.site.clock})
+	v.client = NewClient(ClientConfig{Zone: v.zone, Peers: v, Clock: v.site.clock, Violated: v.site.violated})
 	v.client.Apply(v.site.index)
-	v.owner = NewOwner(OwnerConfig{Zone: v.zone, Gate: v, Peers: v, Clock: v.site.clock})
+	v.owner = NewOwner(OwnerConfig{Zone: v.zone, Gate: v, Peers: v, Clock: v.site.clock, Violated: v.site.violated})
 	v.owner.Apply(v.site.index)
 }
 
--- a/share/unit_test.go
+++ b/share/unit_test.go
@@ -113,7 +113,7 @@
 
 // Of two spends of one loan, a report told of the first alone.
 func TestGiveBackOfUnreportedSpendAlone(t *testing.T) {
-	wallet := NewWallet("zone0")
+	wallet := NewWallet(WalletConfig{Zone: "zone0"})
 	wallet.Apply(testIndex(1, 10, 100, nil))
 	now := time.Second
 	wallet.Take(testWorkspace, now)
@@ -130,7 +130,7 @@
 // Loans of two zones may have one number: a spend of a loan that is over is not
 // given back as a spend of the other.
 func TestGiveBackTellsZonesApart(t *testing.T) {
-	wallet := NewWallet("zone0")
+	wallet := NewWallet(WalletConfig{Zone: "zone0"})
 	wallet.Apply(testIndex(2, 10, 4, nil))
 	now := time.Second
 	spendOf := func(zone string, tokens float64) Spend {
--- a/share/wallet.go
+++ b/share/wallet.go
@@ -31,6 +31,14 @@
 	RetryAfter time.Duration
 }
 
+// WalletConfig configures a Wallet.
+type WalletConfig struct {
+	// Zone is the node's availability zone.
+	Zone string
+	// Violated is told the name of an invariant that does not hold.
+	Violated func(invariant string)
+}
+
 // Wallet holds the tokens that one node has borrowed. It is not safe for
 // concurrent use.
 type Wallet struct {
@@ -41,12 +49,16 @@
 	active []*purse
 	lastID uint64
 	// turn chooses among the other zones.
-	turn int
+	turn     int
+	violated func(invariant string)
 }
 
-// NewWallet returns the wallet, without tokens, of a node in a zone.
-func NewWallet(zone string) *Wallet {
-	return &Wallet{zone: zone, zones: []string{zone}, purses: make(map[string]*purse)}
+// NewWallet returns a wallet without tokens.
+func NewWallet(config WalletConfig) *Wallet {
+	return &Wallet{
+		zone: config.Zone, zones: []string{config.Zone},
+		purses: make(map[string]*purse), violated: orIgnore(config.Violated),
+	}
 }
 
 // Apply puts a bundle into force: it names the zones whose owners may lend
@@ -259,7 +271,7 @@
 func (w *Wallet) purse(workspace string) *purse {
 	p, ok := w.purses[workspace]
 	if !ok {
-		p = &purse{workspace: workspace, collectorZone: Collector(w.index, workspace)}
+		p = &purse{workspace: workspace, collectorZone: Collector(w.index, workspace), violated: w.violated}
 		w.purses[workspace] = p
 	}
 	return p
--- a/share/world_test.go
+++ b/share/world_test.go
@@ -97,8 +97,12 @@
 	// applied is when an owner last took in another bundle.
 	applied time.Duration
 	steps   []string
+	// violations are the invariants that the program found not to hold.
+	violations []string
 }
 
+func (w *world) violated(invariant string) { w.violations = append(w.violations, invariant) }
+
 func newWorld(choose chooser, f fault, zones, nodes int) *world {
 	w := &world{
 		choose: choose, fault: f,
@@ -140,7 +144,7 @@
 
 func (w *world) restart(v *vm) {
 	v.waiting = 0
-	v.wallet = NewWallet(v.zone)
+	v.wallet = NewWallet(WalletConfig{Zone: v.zone, Violated: w.violated})
 	v.wallet.Apply(w.versions[0])
 }
 
@@ -158,7 +162,9 @@
 	k.epoch++
 	k.vm = w.newVM(k.zone)
 	now := k.vm.read(w.now)
-	k.bank = NewBank(BankConfig{Zone: k.zone, Epoch: k.epoch, GainedAt: now, Terms: w.terms, State: state})
+	k.bank = NewBank(BankConfig{
+		Zone: k.zone, Epoch: k.epoch, GainedAt: now, Terms: w.terms, State: state, Violated: w.violated,
+	})
 	if w.fault == faultSuccessorNoWait && state == nil {
 		k.bank.config.GainedAt = now - time.Hour
 	}
@@ -346,7 +352,7 @@
 	}
 	state := bank.Export(now)
 	if w.fault == faultHandoverKeepsBank {
-		k.bank = NewBank(BankConfig{Zone: k.zone, Epoch: k.epoch, Terms: w.terms, State: state})
+		k.bank = NewBank(BankConfig{Zone: k.zone, Epoch: k.epoch, Terms: w.terms, State: state, Violated: w.violated})
 		k.bank.Apply(w.versions[k.version], now)
 	}
 	epoch := k.epoch
