Let ledgers and fences check their invariants as they run

That a commitment runs at most once was asserted in tests alone. NewFence takes a FenceConfig.

go test -v -run Program ./commitment: four planted faults are found by the program itself, one of them new (an unknown outcome taken as not run). Two of the checks cannot be broken by the walks; TestLedgerChecksItsRecords calls them.

--- /dev/null
+++ b/commitment/bench_test.go
@@ -0,0 +1,21 @@
+package commitment
+
+import (
+	"encoding/binary"
+	"testing"
+)
+
+// BenchmarkChecks measures what a ledger or a fence checks of itself at one
+// permission.
+func BenchmarkChecks(b *testing.B) {
+	ledger := NewLedger(LedgerConfig{Violated: func(invariant string) { b.Fatal(invariant) }}, testLayout(1, 1))
+	key, n := Key{}, uint64(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		n++
+		binary.BigEndian.PutUint64(key[8:], n)
+		known := record{}
+		ledger.checkPermit(&known, key)
+		ledger.move(&known, phaseRunning)
+	}
+}
--- a/commitment/commitment_test.go
+++ b/commitment/commitment_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -220,6 +221,7 @@
 		{"layout is trusted at once", faultLayoutTrusted, 0},
 		{"record is forgotten within the window", faultForgetEarly, 0},
 		{"key is called bad that another owner accepted", faultBadKeyTooSoon, 0},
+		{"unknown outcome is taken as not run", faultUnknownReleased, 0},
 	}
 	for _, c := range faults {
 		t.Run(c.name, func(t *testing.T) {
@@ -234,6 +236,43 @@
 	}
 }
 
+// A running node must count some of them by itself.
+func TestPlantedFaultsAreFoundByTheProgram(t *testing.T) {
+	faults := []struct {
+		name      string
+		fault     fault
+		invariant string
+	}{
+		{"record is made after the permission", faultRecordAfterDispatch, invariantAttemptsGrow},
+		{"record is forgotten within the window", faultForgetEarly, invariantAttemptsGrow},
+		{"unknown outcome is taken as not run", faultUnknownReleased, invariantOnePermission},
+		{"fence admits a permission twice", faultFenceAllowsRepeats, invariantAdmittedOnce},
+	}
+	for _, c := range faults {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range uint64(100) {
+				w, _ := runOnce(seeded(seed), c.fault, 2000)
+				if slices.Contains(w.violations, c.invariant) {
+					t.Logf("seed %d, step %d", seed, len(w.steps))
+					return
+				}
+			}
+			t.Error("not found")
+		})
+	}
+}
+
+// These two cannot be broken from outside: the ledger is told to.
+func TestLedgerChecksItsRecords(t *testing.T) {
+	var violations []string
+	ledger := NewLedger(LedgerConfig{
+		Violated: func(invariant string) { violations = append(violations, invariant) },
+	}, testLayout(1, 1))
+	ledger.move(&record{phase: phaseDone}, phaseUnknown)
+	ledger.checkHandedOut(&record{phase: phaseRunning, attempt: 1})
+	assert.DeepEqual(t, violations, []string{invariantDoneStays, invariantRecorded})
+}
+
 // TestSoak runs for SOAK_MINUTES from SOAK_SEED on.
 func TestSoak(t *testing.T) {
 	minutes, err := strconv.ParseFloat(os.Getenv("SOAK_MINUTES"), 64)
--- a/commitment/doc.go
+++ b/commitment/doc.go
@@ -25,7 +25,7 @@
 //	case commitment.Replay: // pass on ruling.Answer
 //	}
 //
-//	fence := commitment.NewFence(terms)                // beside the backend server
+//	fence := commitment.NewFence(commitment.FenceConfig{}) // beside the backend server
 //	switch fence.Admit(permission, time.Now()) { ... } // Stale has not run
 //
 //	owner := commitment.NewOwner(commitment.OwnerConfig{Zone: "palermo", Gate: gate, Clock: clock, Now: time.Now})
--- a/commitment/fence.go
+++ b/commitment/fence.go
@@ -24,6 +24,16 @@
 	epochs map[Home]uint64
 	used   map[Key]use
 	pruned time.Time
+	// recent remembers what was let through, apart from used.
+	recent   recent
+	violated func(invariant string)
+}
+
+// FenceConfig configures a Fence.
+type FenceConfig struct {
+	Terms Terms
+	// Violated is told the name of an invariant that does not hold.
+	Violated func(invariant string)
 }
 
 type use struct {
@@ -32,8 +42,11 @@
 }
 
 // NewFence returns a fence that has seen nothing.
-func NewFence(terms Terms) *Fence {
-	return &Fence{terms: terms.withDefaults(), epochs: make(map[Home]uint64), used: make(map[Key]use)}
+func NewFence(config FenceConfig) *Fence {
+	return &Fence{
+		terms: config.Terms.withDefaults(), violated: orIgnore(config.Violated),
+		epochs: make(map[Home]uint64), used: make(map[Key]use),
+	}
 }
 
 // Learn tells the fence of a shard's epoch, as the shard table has it.
@@ -50,6 +63,9 @@
 	if p.Epoch < f.epochs[p.Home] || now.After(p.Expires.Add(f.terms.ClockSkew)) {
 		return Stale
 	}
+	if !f.recent.advance(p.Key, p.Attempt) {
+		f.violated(invariantAdmittedOnce)
+	}
 	f.Learn(p.Home, p.Epoch)
 	f.used[p.Key] = use{attempt: p.Attempt, until: p.Expires.Add(2*f.terms.ClockSkew + f.terms.RunTimeout)}
 	return Admitted
--- a/commitment/handover.go
+++ b/commitment/handover.go
@@ -94,6 +94,7 @@
 		answer:      s.GetAnswer(),
 		dropped:     s.GetAnswerDropped(),
 	}
+	r.notRun = r.phase == phaseReleased
 	copy(r.request[:], s.GetRequestId())
 	l.records[key] = r
 }
--- a/commitment/ledger.go
+++ b/commitment/ledger.go
@@ -40,6 +40,8 @@
 	// cleared permissions may be handed out; journaled ones outlive the owner.
 	cleared   bool
 	journaled bool
+	// notRun is true once the last attempt is known not to have run.
+	notRun bool
 }
 
 // LedgerConfig says which shard a ledger is for.
@@ -53,6 +55,8 @@
 	LayoutSince time.Time
 	// State is what the predecessor handed over; nil where it did not.
 	State *peerpb.LedgerState
+	// Violated is told the name of an invariant that does not hold.
+	Violated func(invariant string)
 }
 
 // Ledger is the memory of a home shard's owner. It is not safe for concurrent
@@ -75,11 +79,13 @@
 	// goes back.
 	horizon time.Time
 	pruned  time.Time
+	recent  recent
 }
 
 // NewLedger returns a ledger without records but those handed over.
 func NewLedger(config LedgerConfig, layout Layout) *Ledger {
 	config.Terms = config.Terms.withDefaults()
+	config.Violated = orIgnore(config.Violated)
 	l := &Ledger{config: config, layout: layout, records: make(map[Key]*record)}
 	l.safeFrom = config.GainedAt.Add(config.Terms.margin())
 	l.movedFrom = l.layoutSettles(config.LayoutSince)
@@ -191,12 +197,13 @@
 // giveUp makes a dispatch without an outcome unknown.
 func (l *Ledger) giveUp(known *record, now time.Time) {
 	if known.phase == phaseRunning && now.Sub(known.began) > l.config.Terms.RunTimeout {
-		known.phase = phaseUnknown
+		l.move(known, phaseUnknown)
 	}
 }
 
 func (l *Ledger) permit(known *record, r Request, now time.Time) Ruling {
-	known.phase = phaseRunning
+	l.checkPermit(known, r.Key)
+	l.move(known, phaseRunning)
 	known.attempt++
 	known.request = r.ID
 	known.epoch = l.config.Epoch
@@ -232,12 +239,12 @@
 	}
 	switch outcome {
 	case request.Answered:
-		known.phase = phaseDone
+		l.move(known, phaseDone)
 		l.keepAnswer(known, answer)
 	case request.NotRun:
-		known.phase = phaseReleased
+		l.move(known, phaseReleased)
 	default:
-		known.phase = phaseUnknown
+		l.move(known, phaseUnknown)
 	}
 }
 
@@ -256,7 +263,7 @@
 	if !ok || known.attempt != p.Attempt || known.phase != phaseRunning || known.cleared {
 		return false
 	}
-	known.phase = phaseReleased
+	l.move(known, phaseReleased)
 	return true
 }
 
--- a/commitment/owner.go
+++ b/commitment/owner.go
@@ -31,6 +31,8 @@
 	Store   func(home Home) Store
 	Journal JournalTerms
 	Log     *zap.Logger
+	// Violated is told the name of an invariant that does not hold.
+	Violated func(invariant string)
 }
 
 // Owner keeps the ledgers of the shards that its VM owns. It is safe for
@@ -90,7 +92,7 @@
 	home := Home{Zone: o.config.Zone, Shard: shard}
 	d := &desk{epoch: epoch, ledger: NewLedger(LedgerConfig{
 		Home: home, Epoch: epoch, GainedAt: now, LayoutSince: o.layoutSince,
-		Terms: o.config.Terms, State: state,
+		Terms: o.config.Terms, State: state, Violated: o.config.Violated,
 	}, o.layout)}
 	o.desks[shard] = d
 	if o.config.Store == nil {
@@ -171,6 +173,7 @@
 	if known == nil || known.attempt != ruling.Permission.Attempt || known.phase != phaseRunning {
 		return unavailable
 	}
+	d.ledger.checkHandedOut(known)
 	ruling.Journaled = known.journaled
 	return ruling
 }
--- a/commitment/site_test.go
+++ b/commitment/site_test.go
@@ -154,10 +154,11 @@
 func newSite(seed uint64, journal bool) *site {
 	s := &site{
 		journal: journal, source: rand.New(rand.NewPCG(seed, 3)), start: time.Now(),
-		fence: NewFence(Terms{}), dead: make(map[*Owner]bool),
+		dead: make(map[*Owner]bool),
 		runs: make(map[Key]int), answers: make(map[Key]string), verdicts: make(map[Verdict]int),
 		runTime: 20 * time.Millisecond,
 	}
+	s.fence = NewFence(FenceConfig{Violated: s.violated})
 	s.store = &memoryStore{state: &peerpb.JournalState{}, source: rand.New(rand.NewPCG(seed, 4))}
 	s.index = bundle.NewIndex(&bundle.Bundle{Zones: []bundle.Zone{{Name: "zone0", Shards: 1}}})
 	s.client = NewClient(ClientConfig{Peers: s})
@@ -165,6 +166,13 @@
 	return s
 }
 
+// violated is fatal where no fault is planted.
+func (s *site) violated(invariant string) {
+	if s.fault == noJournalFault {
+		panic("the program found: " + invariant)
+	}
+}
+
 // gate lets one owner live until the next one has the shard.
 type gate struct {
 	site  *site
@@ -184,7 +192,7 @@
 	epoch := s.epoch
 	config := OwnerConfig{
 		Zone: "zone0", Gate: gate{s, epoch}, Now: time.Now,
-		Clock: func() time.Duration { return time.Since(s.start) },
+		Clock: func() time.Duration { return time.Since(s.start) }, Violated: s.violated,
 	}
 	s.mu.Unlock()
 	if s.journal {
--- a/commitment/world_test.go
+++ b/commitment/world_test.go
@@ -29,6 +29,7 @@
 	faultLayoutTrusted
 	faultForgetEarly
 	faultBadKeyTooSoon
+	faultUnknownReleased
 )
 
 // actor is a VM with its own wall clock and layout.
@@ -84,6 +85,16 @@
 	verdicts map[Verdict]int
 	steps    []string
 	broken   error
+	// violations are the invariants that the program found not to hold.
+	violations []string
+}
+
+// violated is fatal where no fault is planted.
+func (w *world) violated(invariant string) {
+	w.violations = append(w.violations, invariant)
+	if w.fault == noFault {
+		w.fail("the program found: %s", invariant)
+	}
 }
 
 func newWorld(choose chooser, f fault) *world {
@@ -103,7 +114,7 @@
 	}
 	for range 3 {
 		w.entries = append(w.entries, w.newActor())
-		w.fences = append(w.fences, NewFence(w.terms))
+		w.fences = append(w.fences, NewFence(FenceConfig{Terms: w.terms, Violated: w.violated}))
 		w.clocks = append(w.clocks, w.newActor())
 	}
 	w.changed = w.now.Add(-time.Hour)
@@ -150,6 +161,7 @@
 	}
 	config := LedgerConfig{
 		Home: h.home, Epoch: h.epoch, GainedAt: w.read(h.vm), LayoutSince: w.read(h.vm), Terms: w.terms, State: state,
+		Violated: w.violated,
 	}
 	if w.choose.Intn(2) == 0 && h.vm.layout == len(w.layouts)-1 {
 		// The VM has been up since before the layout changed.
@@ -225,6 +237,9 @@
 }
 
 func (w *world) rule(ledger *Ledger, r Request, now time.Time) Ruling {
+	if known := ledger.records[r.Key]; w.fault == faultUnknownReleased && known != nil && known.phase == phaseUnknown {
+		known.phase = phaseReleased
+	}
 	ruling := ledger.Begin(r, now)
 	switch {
 	case w.fault == faultRecordAfterDispatch && ruling.Verdict == Run && ruling.Permission.Attempt == 1:
--- a/node/shards.go
+++ b/node/shards.go
@@ -75,12 +75,13 @@
 	})
 	s.commitments = commitment.NewClient(commitment.ClientConfig{Peers: s})
 	s.ledgers = commitment.NewOwner(commitment.OwnerConfig{
-		Zone:  config.Self.Zone,
-		Gate:  s,
-		Clock: bootTime,
-		Now:   time.Now,
-		Store: func(home commitment.Home) commitment.Store { return commitment.NewPlatformStore(config.Platform, home) },
-		Log:   config.Logger,
+		Zone:     config.Self.Zone,
+		Gate:     s,
+		Clock:    bootTime,
+		Now:      time.Now,
+		Store:    func(home commitment.Home) commitment.Store { return commitment.NewPlatformStore(config.Platform, home) },
+		Log:      config.Logger,
+		Violated: config.Violated,
 	})
 	return s
 }
--- a/node/wire.go
+++ b/node/wire.go
@@ -69,7 +69,7 @@
 		next:      n.backendClient,
 		announced: n.announced,
 		guard:     newGuard(n.bundles.Index),
-		fence:     commitment.NewFence(commitment.Terms{}),
+		fence:     commitment.NewFence(commitment.FenceConfig{Violated: n.violated}),
 	}
 	n.membership = &membership{directory: n.directory, announced: n.announced, local: n.local, onService: n.resubscribe}
 	n.gate = newGate()
