--- a/commitment/handover.go
+++ b/commitment/handover.go
@@ -77,11 +77,12 @@
 	}
 }
 
-// restoreRecord takes in a record without ever replacing one.
-func (l *Ledger) restoreRecord(s *peerpb.RecordState) {
+// restoreRecord takes in a record without ever replacing one; nil means that
+// there was one, or no key.
+func (l *Ledger) restoreRecord(s *peerpb.RecordState) (Key, *record) {
 	key, err := KeyFromBytes(s.GetIdempotencyKey())
 	if err != nil || l.records[key] != nil {
-		return
+		return key, nil
 	}
 	r := &record{
 		workspace:   s.GetWorkspace(),
@@ -97,6 +98,7 @@
 	r.notRun = r.phase == phaseReleased
 	copy(r.request[:], s.GetRequestId())
 	l.records[key] = r
+	return key, r
 }
 
 func later(a, b time.Time) time.Time {
--- a/commitment/recovery.go
+++ b/commitment/recovery.go
@@ -11,10 +11,10 @@
 // Adopt takes in a predecessor's journal. What it covers is relied on only
 // under the layout that it was written by.
 func (l *Ledger) Adopt(state *peerpb.JournalState) Coverage {
+	coverage := Coverage{From: timeOf(state.CoveredFromUnixMicros), Until: timeOf(state.CoveredUntilUnixMicros)}
 	for _, s := range state.Records {
-		l.restoreRecord(s)
+		l.adoptRecord(s, coverage)
 	}
-	coverage := Coverage{From: timeOf(state.CoveredFromUnixMicros), Until: timeOf(state.CoveredUntilUnixMicros)}
 	if state.Layout == l.layout.hash && coverage.Until.After(coverage.From) {
 		l.covered = coverage
 		l.trustLayout(coverage.From)
@@ -22,6 +22,15 @@
 	return coverage
 }
 
+// adoptRecord takes in a journal's record. A key that is not covered may have
+// gone on running on the predecessor's memory alone, unless it had run by then.
+func (l *Ledger) adoptRecord(s *peerpb.RecordState, coverage Coverage) {
+	key, adopted := l.restoreRecord(s)
+	if adopted != nil && adopted.phase != phaseDone && !coverage.has(key.Minted()) {
+		l.move(adopted, phaseUnknown)
+	}
+}
+
 // trustLayout takes in that the layout was in force everywhere for keys minted
 // after a time, as the predecessor knew.
 func (l *Ledger) trustLayout(from time.Time) {
