--- a/node/shards.go
+++ b/node/shards.go
@@ -55,16 +55,21 @@
 
 func newShards(config shardsConfig) *shards {
 	s := &shards{config: config, kept: make(map[int]*peerpb.ShardState)}
-	s.rates = share.NewClient(share.ClientConfig{Zone: config.Self.Zone, Peers: s, Clock: bootTime})
-	s.bank = share.NewOwner(share.OwnerConfig{Zone: config.Self.Zone, Gate: s, Peers: s, Clock: bootTime})
+	s.rates = share.NewClient(share.ClientConfig{
+		Zone: config.Self.Zone, Peers: s, Clock: bootTime, Violated: config.Violated,
+	})
+	s.bank = share.NewOwner(share.OwnerConfig{
+		Zone: config.Self.Zone, Gate: s, Peers: s, Clock: bootTime, Violated: config.Violated,
+	})
 	s.commitments = commitment.NewClient(commitment.ClientConfig{Peers: s})
 	s.ledgers = commitment.NewOwner(commitment.OwnerConfig{
-		Zone:  config.Self.Zone,
-		Gate:  s,
-		Clock: bootTime,
-		Now:   time.Now,
-		Store: func(home commitment.Home) commitment.Store { return commitment.NewPlatformStore(config.Platform, home) },
-		Log:   config.Logger,
+		Zone:     config.Self.Zone,
+		Gate:     s,
+		Clock:    bootTime,
+		Now:      time.Now,
+		Store:    func(home commitment.Home) commitment.Store { return commitment.NewPlatformStore(config.Platform, home) },
+		Log:      config.Logger,
+		Violated: config.Violated,
 	})
 	return s
 }
--- a/node/wire.go
+++ b/node/wire.go
@@ -70,7 +70,7 @@
 	n.local = &localHandler{
 		announced: n.announced,
 		guard:     newGuard(n.bundles.Index),
-		fence:     commitment.NewFence(commitment.Terms{}),
+		fence:     commitment.NewFence(commitment.FenceConfig{Violated: n.violated}),
 	}
 	n.membership = &membership{directory: n.directory, announced: n.announced, local: n.local, onService: n.resubscribe}
 	n.gate = newGate()
