--- a/commitment/kill_test.go
+++ b/commitment/kill_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -157,7 +158,7 @@
 // Owners are killed and handed over, messages and journal answers lost, and
 // the platform goes down, all at once.
 func TestDriversRunCommitmentsAtMostOnce(t *testing.T) {
-	for seed := range uint64(5) {
+	for seed := range uint64(9) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := newSite(seed, seed%4 != 0)
@@ -270,11 +271,44 @@
 	}
 }
 
+// A predecessor that was paused wakes while its successor cannot reach the
+// platform: it must not cover keys that the successor runs on memory alone. A
+// killed owner of the site goes on in the background as one that has woken.
+func TestWokenPredecessorCoversNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(1, true)
+		s.gain(nil)
+		time.Sleep(5 * time.Second)
+		s.pay(s.mint(), time.Second)
+		s.platform(false)
+		s.kill(10 * time.Millisecond)
+		time.Sleep(2 * time.Second)
+		s.kill(10 * time.Millisecond)
+		// The platform is up when the second owner tries again, and down when
+		// the third one does.
+		time.Sleep(2 * time.Second)
+		s.platform(true)
+		time.Sleep(2 * time.Second)
+		s.platform(false)
+		time.Sleep(7 * time.Second)
+		key := s.mint()
+		verdict, _ := s.pay(key, time.Second)
+		assert.Equal(t, verdict, Run)
+		s.kill(10 * time.Millisecond)
+		s.platform(true)
+		time.Sleep(6 * time.Second)
+		verdict, _ = s.pay(key, time.Second)
+		time.Sleep(time.Minute)
+		assert.Equal(t, verdict, Unknown)
+		assert.NilError(t, s.failure())
+	})
+}
+
 func (s *site) trouble(duration time.Duration) {
+	// A source of its own, so that a seed always makes the same trouble.
+	source := rand.New(rand.NewPCG(s.seed, 5))
 	for end := time.Now().Add(duration); time.Now().Before(end); {
-		s.mu.Lock()
-		kind, pause := s.source.IntN(4), time.Duration(s.source.IntN(4000))*time.Millisecond
-		s.mu.Unlock()
+		kind, pause := source.IntN(4), time.Duration(source.IntN(4000))*time.Millisecond
 		time.Sleep(pause)
 		switch kind {
 		case 0:
--- a/commitment/site_test.go
+++ b/commitment/site_test.go
@@ -23,6 +23,7 @@
 // each other, entry nodes, and a backend server with its fence.
 type site struct {
 	journal bool
+	seed    uint64
 	source  *rand.Rand
 	index   *bundle.Index
 	start   time.Time
@@ -153,7 +154,7 @@
 
 func newSite(seed uint64, journal bool) *site {
 	s := &site{
-		journal: journal, source: rand.New(rand.NewPCG(seed, 3)), start: time.Now(),
+		journal: journal, seed: seed, source: rand.New(rand.NewPCG(seed, 3)), start: time.Now(),
 		dead: make(map[*Owner]bool),
 		runs: make(map[Key]int), answers: make(map[Key]string), verdicts: make(map[Verdict]int),
 		runTime: 20 * time.Millisecond,
--- a/commitment/writer.go
+++ b/commitment/writer.go
@@ -182,13 +182,24 @@
 	return nil
 }
 
-// write writes all records, and lets those through who wait for it.
+// errLapsed means that the shard's lease is not live.
+var errLapsed = errs.NewType("lapsed")
+
+// write writes all records, and lets those through who wait for it. What it
+// covers is decided while the lease is live: a successor refuses all keys that
+// an owner may have covered by then, and no others.
 func (w *writer) write() error {
 	w.owner.mu.Lock()
+	// A pause after the look at the lease must not make this later.
+	now := w.owner.config.Now()
+	if w.owner.live(w.desk.ledger.config.Home.Shard) != w.desk {
+		w.owner.mu.Unlock()
+		return errLapsed.New("no write without a lease")
+	}
 	waiters := w.waiters
 	w.waiters = nil
 	w.dirty = false
-	state, coverage := w.next(waiters)
+	state, coverage := w.next(waiters, now)
 	w.owner.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), w.journal.terms.WriteTimeout)
 	revision, err := w.store.Save(ctx, state, w.revision)
@@ -205,11 +216,11 @@
 }
 
 // next returns what the next write states.
-func (w *writer) next(waiters []*waiter) (*peerpb.JournalState, Coverage) {
+func (w *writer) next(waiters []*waiter, now time.Time) (*peerpb.JournalState, Coverage) {
 	newest := time.Time{}
 	for _, waiting := range waiters {
 		newest = later(newest, waiting.permission.Key.Minted())
 	}
-	coverage := w.journal.Next(w.desk.ledger.CompleteFrom(), newest, w.owner.config.Now())
+	coverage := w.journal.Next(w.desk.ledger.CompleteFrom(), newest, now)
 	return w.desk.ledger.JournalState(coverage, w.journal.terms.Bytes)
 }
