--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -2,6 +2,7 @@
 package e2e
 
 import (
+	"bytes"
 	"context"
 	"crypto/ed25519"
 	"encoding/base64"
@@ -162,7 +163,9 @@
 	for _, vm := range w.vms() {
 		vms = append(vms, site.VM{Name: vm.name, Zone: w.bundle.Zones[len(vms)%len(w.bundle.Zones)].Name})
 	}
-	s, err := site.Start(w.ctx, site.Config{Binary: binary, Directory: w.t.TempDir(), VMs: vms, Operators: w.operators, Adjust: w.adjust})
+	directory := w.t.TempDir()
+	w.t.Cleanup(func() { checkLogs(w.t, directory) })
+	s, err := site.Start(w.ctx, site.Config{Binary: binary, Directory: directory, VMs: vms, Operators: w.operators, Adjust: w.adjust})
 	assert.NilError(w.t, err)
 	w.t.Cleanup(s.Close)
 	w.site = s
@@ -173,6 +176,19 @@
 	}
 }
 
+// checkLogs checks that no node has found an invariant broken.
+func checkLogs(t *testing.T, directory string) {
+	t.Helper()
+	logs, err := filepath.Glob(filepath.Join(directory, "*.log"))
+	assert.NilError(t, err)
+	assert.Assert(t, len(logs) > 0)
+	for _, log := range logs {
+		data, err := os.ReadFile(log)
+		assert.NilError(t, err)
+		assert.Assert(t, !bytes.Contains(data, []byte("invariant violated")), "%s", log)
+	}
+}
+
 // testVM is one VM of a world.
 type testVM struct {
 	name    string
