--- a/node/wire.go
+++ b/node/wire.go
@@ -43,6 +43,7 @@
 	n.tokens = backend.NewTokens()
 	n.pool = peer.NewPool(peer.PoolConfig{Self: n.identity, TLS: peerTLS, Logger: n.logger})
 	n.routes = newRoutes(n.identity.VM, n.identity.Zone)
+	n.subscriptions = newSubscriptions(n.routes)
 	n.directory = directory.New(directory.Config{
 		VM:             n.identity.VM,
 		Zone:           n.identity.Zone,
@@ -56,9 +57,10 @@
 		Verify:         n.bundles.Verify,
 		ProofSince:     n.bundles.ProofSince,
 		Zones:          n.zones,
-		OnTargets:      n.routes.Update,
+		OnTargets:      n.subscriptions.Update,
 		Logger:         n.logger,
 	})
+	n.subscriptions.directory = n.directory
 }
 
 // wireDecisions makes what decides on calls.
@@ -66,7 +68,6 @@
 	s := n.config.Settings
 	n.backendClient = backend.NewClient(backend.ClientConfig{Tokens: n.tokens, Announced: n.announced.Current})
 	n.local = &localHandler{
-		next:      n.backendClient,
 		announced: n.announced,
 		guard:     newGuard(n.bundles.Index),
 		fence:     commitment.NewFence(commitment.FenceConfig{Violated: n.violated}),
@@ -80,6 +81,8 @@
 		routes: n.routes,
 		gate:   n.gate,
 		policy: retry.NewPolicy(retry.Config{}),
+
+		subscriptions: n.subscriptions,
 	}
 	n.shards = newShards(shardsConfig{
 		Self:      n.identity,
@@ -92,6 +95,7 @@
 		Metrics:   n.metrics.Scope,
 		Violated:  n.violated,
 	})
+	n.local.next = &dispatcher{client: n.shards.commitments, next: n.backendClient}
 	n.readiness = newReadiness(n)
 	n.local.ready = n.readiness.done
 }
@@ -101,13 +105,14 @@
 	s := n.config.Settings
 	commitments := &commitments{client: n.shards.commitments, next: n.router}
 	entry := &entry{bundle: n.bundles.Index, rates: n.shards.rates, gate: n.gate, next: commitments}
+	confirmed := newConfirmer(n.shards.commitments, entry)
 	n.recorder = report.NewRecorder(report.Config{VM: s.VM, Zone: s.AvailabilityZone})
 	n.callers = caller.New(caller.Config{
 		Record:      n.record,
 		Ready:       n.local.isReady,
 		Stale:       n.isStale,
 		Bundle:      n.bundles.Index,
-		Next:        entry,
+		Next:        confirmed,
 		Logger:      n.logger,
 		IdleTimeout: time.Duration(s.IdleTimeout),
 	})
