Send keepalives each 30 s, and give up silent directory streams by themselves

Cause: each session was asked each 5 s from both ends: 14 KB a second at a relay with 238 sessions and 11.5 KB beside a backend server with 192, of 7 KB for all control. They were what noticed a relay that is gone without a word: its streams stayed open, and so did what it had listed.

Keepalives go each 30 s. Either end of a directory stream gives it up when nothing came for 10 s, as nodes send heartbeats each 2 s and relays word of the platform each 5 s. Who has opened a session looks at the peer each 5 s while calls are under way, as before.

Ruled out: heartbeats each 4 s. Closing the sessions to a VM that the directory drops, as it may be cut off from relays alone and serve on.

--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -60,6 +60,14 @@
 			s.awaitAll("all see five", 10*time.Second, func(m *member) bool { return m.sees("a") == 5 && m.sees("b") == 6 })
 			s.t.Logf("took %v", took)
 		}},
+		{"a node falls silent", func(s *site) { s.fallSilent(anyNode(s, "a"), 8*time.Second) }},
+		{"a relay falls silent", func(s *site) { s.fallSilent(s.relays("a")[1], silenceLimit) }},
+		{"a node dies as a relay falls silent", func(s *site) {
+			dead := anyNode(s, "b")
+			dead.kill()
+			// Relays keep what a lost one listed for another 20 s.
+			s.fallSilent(s.relays("b")[1], silenceLimit+20*time.Second)
+		}},
 		{"all relays of a zone killed", func(s *site) {
 			for _, m := range s.relays("a") {
 				m.kill()
@@ -176,6 +184,26 @@
 	s.t.Logf("took %v, %d targets before", took, before)
 }
 
+// silenceLimit is how long word of a silent relay may stand: 10 s until its
+// streams are given up, and what new ones take.
+const silenceLimit = 13 * time.Second
+
+// fallSilent takes a member's VM away without a word: its zone and then all drop
+// it, and nobody goes on listening to it.
+func (s *site) fallSilent(silent *member, limit time.Duration) {
+	left := live(s, "orders") - 1
+	s.silence(silent)
+	began := time.Now()
+	knows := func(m *member) bool { return m == silent || m.sees("a")+m.sees("b") == left }
+	if limit < silenceLimit {
+		s.awaitAll("its zone knows", limit, func(m *member) bool { return m.zone != silent.zone || knows(m) })
+		s.t.Logf("its zone knows after %v", time.Since(began))
+	}
+	s.await("its streams are given up", silenceLimit-time.Since(began), func() bool { return s.streamsOf(silent) == 0 })
+	s.awaitAll("all know", max(limit, silenceLimit)-time.Since(began), knows)
+	s.t.Logf("all know after %v", time.Since(began))
+}
+
 // restart kills a node and starts it anew: once it may serve, it has in force
 // at least what it had.
 func (s *site) restart(m *member) {
--- a/directory/link.go
+++ b/directory/link.go
@@ -59,6 +59,7 @@
 	if err != nil {
 		return false, err
 	}
+	stream = newHeardStream(stream)
 	l.stream = stream
 	l.requests, l.again = make(chan struct{}, 1), make(chan struct{}, 1)
 	group, ctx := errgroup.WithContext(ctx)
--- a/directory/serve.go
+++ b/directory/serve.go
@@ -50,6 +50,8 @@
 // Serve answers a stream that another node has opened, until it ends. A node
 // that is no relay only tells of the relays that it knows.
 func (d *Directory) Serve(ctx context.Context, peer Peer, stream Stream) error {
+	stream = newHeardStream(stream)
+	defer closeQuietly(stream)
 	first, err := stream.Receive()
 	if err != nil {
 		return err
--- a/peer/bound.go
+++ b/peer/bound.go
@@ -47,8 +47,3 @@
 	}
 	return now.Sub(e.controlled) >= controlTime && e.session.inUse() == 0
 }
-
-// inUse returns the number of streams that are not kept for a next call.
-func (s *Session) inUse() int {
-	return s.mux.NumStreams() - s.idle.count()
-}
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 )
@@ -92,7 +91,7 @@
 		return nil, err
 	}
 	defer entry.release()
-	return entry.session.OpenStream(ctx)
+	return entry.session.openControl(ctx)
 }
 
 // callStream returns a stream for one call to the node at address.
@@ -193,11 +192,12 @@
 	if p.config.TLS != nil {
 		conn = tls.Client(conn, p.config.TLS)
 	}
-	session, err := open(conn, p.config.Self, yamux.Client)
+	session, err := open(conn, p.config.Self, dialMux)
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
+	go session.keepAlive(callCheckInterval, keepAliveInterval)
 	return session, nil
 }
 
--- a/peer/session.go
+++ b/peer/session.go
@@ -20,6 +20,7 @@
 	"context"
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -34,7 +35,10 @@
 	// helloTimeout bounds the opening of a session.
 	helloTimeout = 3 * time.Second
 	// keepAliveInterval is the time between a session's heartbeats.
-	keepAliveInterval = 5 * time.Second
+	keepAliveInterval = 30 * time.Second
+	// callCheckInterval is that of the side that opened the session while calls
+	// wait for the other.
+	callCheckInterval = 5 * time.Second
 	// writeTimeout ends a session whose peer does not read.
 	writeTimeout = 5 * time.Second
 	// streamBacklog is the number of streams that may wait for acceptance.
@@ -66,6 +70,8 @@
 type Session struct {
 	mux  *yamux.Session
 	idle idleStreams
+	// control counts the open streams that carry no calls.
+	control atomic.Int64
 	// Peer is what the other side said in its hello.
 	Peer Identity
 }
@@ -150,6 +156,36 @@
 	return stream, nil
 }
 
+// openControl opens a stream that carries no calls.
+func (s *Session) openControl(ctx context.Context) (net.Conn, error) {
+	stream, err := s.OpenStream(ctx)
+	if err != nil {
+		return nil, err
+	}
+	s.control.Add(1)
+	return &controlStream{Conn: stream, session: s}, nil
+}
+
+// controlStream is counted while it is open.
+type controlStream struct {
+	net.Conn
+	session *Session
+	closed  atomic.Bool
+}
+
+// Close implements net.Conn.
+func (c *controlStream) Close() error {
+	if c.closed.CompareAndSwap(false, true) {
+		c.session.control.Add(-1)
+	}
+	return c.Conn.Close()
+}
+
+// inUse returns the number of streams that are not kept for a next call.
+func (s *Session) inUse() int {
+	return s.mux.NumStreams() - s.idle.count()
+}
+
 // Close ends the session and all of its streams.
 func (s *Session) Close() error {
 	return s.mux.Close()
