--- a/bundle/bench_test.go
+++ b/bundle/bench_test.go
@@ -85,19 +85,24 @@
 				c.change(second)
 				tracker, record := trackerOf(b, first, second)
 				tracker.RelaysHold(1)
-				b.ReportAllocs()
-				for b.Loop() {
-					copied := *tracker
-					if verdict, err := copied.Offer(record); err != nil || !verdict.Accepted {
-						b.Fatal(err)
-					}
-					copied.RelaysHold(2)
-				}
+				offerAgain(b, tracker, record)
 			})
 		}
 	}
 }
 
+// offerAgain brings the second version into force, again and again.
+func offerAgain(b *testing.B, tracker *bundle.Tracker, record bundle.Record) {
+	b.ReportAllocs()
+	for b.Loop() {
+		copied := *tracker
+		if verdict, err := copied.Offer(record); err != nil || !verdict.Accepted {
+			b.Fatal(err)
+		}
+		copied.RelaysHold(2)
+	}
+}
+
 func heapBytes() uint64 {
 	runtime.GC()
 	runtime.GC()
--- a/bundle/sections_test.go
+++ b/bundle/sections_test.go
@@ -73,14 +73,7 @@
 	for _, count := range []int{10, 1000, 10000} {
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
 			tracker, record := trackerWith(b, count)
-			b.ReportAllocs()
-			for b.Loop() {
-				copied := *tracker
-				if verdict, err := copied.Offer(record); err != nil || !verdict.Accepted {
-					b.Fatal(err)
-				}
-				copied.RelaysHold(2)
-			}
+			offerAgain(b, tracker, record)
 			b.ReportMetric(float64(encodedSize(b, record)), "delta-B")
 			b.ReportMetric(float64(encodedSize(b, tracker.HeldVersion().Whole())), "whole-B")
 		})
