--- a/bundle/sections_test.go
+++ b/bundle/sections_test.go
@@ -73,14 +73,7 @@
 	for _, count := range []int{10, 1000, 10000} {
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
 			tracker, record := trackerWith(b, count)
-			b.ReportAllocs()
-			for b.Loop() {
-				copied := *tracker
-				if verdict, err := copied.Offer(record); err != nil || !verdict.Accepted {
-					b.Fatal(err)
-				}
-				copied.RelaysHold(2)
-			}
+			offerAgain(b, tracker, record)
 			b.ReportMetric(float64(encodedSize(b, record)), "delta-B")
 			b.ReportMetric(float64(encodedSize(b, tracker.HeldVersion().Whole())), "whole-B")
 		})
@@ -98,6 +91,12 @@
 func trackerWith(t testing.TB, count int) (*bundle.Tracker, bundle.Record) {
 	first, second := large(count), large(count)
 	second.Workspaces[count/2].Rate = 2
+	return trackerOf(t, first, second)
+}
+
+// trackerOf returns a tracker that holds the first version, and the record of
+// the second.
+func trackerOf(t testing.TB, first, second *bundle.Bundle) (*bundle.Tracker, bundle.Record) {
 	for _, b := range []*bundle.Bundle{first, second} {
 		b.SignOffs = 1
 		b.Operators = []bundle.Operator{operatorOf("ndapewa")}
