Hold idle connections of callers without goroutine or buffer

Cause: fasthttp keeps a 16 KB read buffer for each connection when request bodies are streamed (ReduceMemoryUsage does not release it then), besides the goroutine and its grown stack. A connection that is idle for 1 s now ends for fasthttp, rests in a poller of its own that one goroutine waits on, and is accepted again with its next request. The poller keeps the idle timeout too, which fasthttp did not for a connection without any request.

Ruled out: smaller read buffers (they bound a request's head), hijacking each connection (a goroutine more for each request).

Green: go test -race -count=5 ./httpconn ./caller, e2e TestPath, TestRollingRestart, TestCancel, TestTLS.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -71,7 +71,6 @@
 	s.http = httpconn.NewServer(httpconn.ServerConfig{
 		Handler:      s.handle,
 		OnBadRequest: badRequest,
-		IdleTimeout:  config.IdleTimeout,
 		Logger:       config.Logger,
 	})
 	return s
@@ -79,7 +78,11 @@
 
 // Serve answers callers until Shutdown.
 func (s *Server) Serve(listener net.Listener) error {
-	return s.http.Serve(httpconn.Listen(listener))
+	many, err := httpconn.ListenMany(listener, s.config.IdleTimeout)
+	if err != nil {
+		return err
+	}
+	return s.http.Serve(many)
 }
 
 // Drain makes every further answer the last on its connection, so that callers
--- a/httpconn/conn.go
+++ b/httpconn/conn.go
@@ -4,6 +4,8 @@
 // # Usage
 //
 //	listener = httpconn.Listen(listener)
+//	// or, where thousands of connections are idle at a time:
+//	listener, err := httpconn.ListenMany(listener, idleTimeout)
 //	// in a fasthttp handler, once the request's body has been read:
 //	conn := ctx.Conn().(*httpconn.Conn)
 //	conn.Watch(cancel)
@@ -12,8 +14,11 @@
 
 import (
 	"errors"
+	"io"
 	"net"
+	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -25,24 +30,6 @@
 // answered by then.
 const watchDelay = 10 * time.Millisecond
 
-// Listen wraps the connections of a listener in Conn.
-func Listen(listener net.Listener) net.Listener {
-	return &wrapped{Listener: listener}
-}
-
-type wrapped struct {
-	net.Listener
-}
-
-// Accept implements net.Listener.
-func (l *wrapped) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return New(conn), nil
-}
-
 // Conn is a connection that can be watched for its end between reads. Its
 // Read must not be called while it is watched.
 type Conn struct {
@@ -59,8 +46,24 @@
 	// ahead is a byte of the next request that the watch has read.
 	ahead    byte
 	hasAhead bool
+
+	// resting takes the connection between two requests; it may be nil.
+	resting *restingConns
+	// between is true until the first byte of a request was read.
+	between bool
+	state   atomic.Int32
 }
 
+// The states of a connection.
+const (
+	// connOpen is one that its server uses.
+	connOpen = iota
+	// connTired is one that rests as soon as its server closes it.
+	connTired
+	// connLeft is one that belongs to its server no more.
+	connLeft
+)
+
 // New wraps a connection.
 func New(conn net.Conn) *Conn {
 	return &Conn{Conn: conn}
@@ -141,9 +144,43 @@
 		return 1, nil
 	}
 	c.mu.Unlock()
+	if c.between && c.resting != nil {
+		return c.readFirst(p)
+	}
 	return c.Conn.Read(p)
 }
 
+// readFirst reads the first bytes of a request. Where none come soon it ends
+// the connection for its server, which then closes it.
+func (c *Conn) readFirst(p []byte) (int, error) {
+	if err := c.Conn.SetReadDeadline(time.Now().Add(c.resting.after)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		c.state.CompareAndSwap(connOpen, connTired)
+		return 0, io.EOF
+	}
+	c.between = false
+	if cleared := c.Conn.SetReadDeadline(time.Time{}); err == nil {
+		err = cleared
+	}
+	return n, err
+}
+
+// Close implements net.Conn. A connection on which no request came is kept
+// open until one comes.
+func (c *Conn) Close() error {
+	if c.state.CompareAndSwap(connTired, connLeft) {
+		c.resting.add(c.Conn)
+		return nil
+	}
+	if c.state.Load() == connLeft {
+		return nil
+	}
+	return c.Conn.Close()
+}
+
 // IsIdle tells whether the connection is open and holds no byte to be read. It
 // does not wait.
 func (c *Conn) IsIdle() bool {
--- /dev/null
+++ b/httpconn/resting_test.go
@@ -0,0 +1,125 @@
+package httpconn
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// many is a server whose idle connections rest.
+type many struct {
+	listener *manyListener
+	server   *fasthttp.Server
+}
+
+// newMany starts a server that echoes paths.
+func newMany(t *testing.T, idleTimeout time.Duration) *many {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	listener, err := listenMany(inner, idleTimeout, 10*time.Millisecond)
+	assert.NilError(t, err)
+	server := NewServer(ServerConfig{Logger: zap.NewNop(), Handler: func(ctx *fasthttp.RequestCtx) {
+		ctx.SetBody(ctx.Path())
+	}})
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	t.Cleanup(func() {
+		assert.NilError(t, server.Shutdown())
+		assert.NilError(t, <-served)
+	})
+	return &many{listener: listener, server: server}
+}
+
+// waitForResting waits until as many connections rest and none is served.
+func (m *many) waitForResting(t *testing.T, count int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		resting, open := m.listener.resting.count(), m.server.GetOpenConnectionsCount()
+		if resting == count && open == 0 {
+			return poll.Success()
+		}
+		return poll.Continue("%d connections rest, %d are served", resting, open)
+	}, poll.WithTimeout(10*time.Second))
+}
+
+// client is one connection of a caller.
+type client struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (m *many) dial(t *testing.T) client {
+	t.Helper()
+	conn, err := net.Dial("tcp", m.listener.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(20*time.Second)))
+	return client{Conn: conn, reader: bufio.NewReader(conn)}
+}
+
+// ask sends a request in two parts and checks that its own answer comes.
+func (c client) ask(t *testing.T, path string) {
+	t.Helper()
+	for _, part := range []string{"G", "ET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n"} {
+		_, err := io.WriteString(c, part)
+		assert.NilError(t, err)
+	}
+	var response fasthttp.Response
+	assert.NilError(t, response.Read(c.reader))
+	assert.Equal(t, string(response.Body()), path)
+}
+
+// TestRestingConnections serves requests on connections that rest in between,
+// and on one that has rested before its first.
+func TestRestingConnections(t *testing.T) {
+	m := newMany(t, 0)
+	const connections = 200
+	var clients []client
+	for range connections {
+		clients = append(clients, m.dial(t))
+	}
+	for range 3 {
+		m.waitForResting(t, connections)
+		for i, c := range clients {
+			c.ask(t, "/"+string(rune('a'+i%26)))
+		}
+	}
+	m.waitForResting(t, connections)
+	for _, c := range clients {
+		assert.NilError(t, c.Close())
+	}
+	m.waitForResting(t, 0)
+}
+
+func TestRestingConnectionsEnd(t *testing.T) {
+	cases := []struct {
+		name        string
+		idleTimeout time.Duration
+		end         func(*testing.T, *many)
+	}{
+		{"with their idle timeout", 100 * time.Millisecond, func(*testing.T, *many) {}},
+		{"with their server", time.Hour, func(t *testing.T, m *many) {
+			m.waitForResting(t, 1)
+			assert.NilError(t, m.server.Shutdown())
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			m := newMany(t, c.idleTimeout)
+			caller := m.dial(t)
+			caller.ask(t, "/a")
+			c.end(t, m)
+			_, err := caller.reader.ReadByte()
+			assert.ErrorIs(t, err, io.EOF)
+			assert.Equal(t, m.listener.resting.count(), 0)
+		})
+	}
+}
--- a/httpconn/server.go
+++ b/httpconn/server.go
@@ -1,7 +1,7 @@
 package httpconn
 
 import (
-	"time"
+	"net"
 
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
@@ -19,9 +19,7 @@
 	Handler fasthttp.RequestHandler
 	// OnBadRequest answers requests that cannot be read; nil takes the library's answer.
 	OnBadRequest func(ctx *fasthttp.RequestCtx, err error)
-	// IdleTimeout closes idle connections; zero keeps them.
-	IdleTimeout time.Duration
-	Logger      *zap.Logger
+	Logger       *zap.Logger
 }
 
 // NewServer returns a server that streams bodies and adds nothing of its own.
@@ -37,8 +35,15 @@
 		ReduceMemoryUsage:            true,
 		MaxRequestBodySize:           maxBodyBytes,
 		ReadBufferSize:               headBytes,
-		IdleTimeout:                  config.IdleTimeout,
 		CloseOnShutdown:              true,
+		ConnState:                    markIdle,
 		Logger:                       zap.NewStdLog(config.Logger.Named("http").WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
 }
+
+// markIdle tells a connection that its next read begins a request.
+func markIdle(conn net.Conn, state fasthttp.ConnState) {
+	if c, ok := conn.(*Conn); ok && state == fasthttp.StateIdle {
+		c.between = true
+	}
+}
