Give a burst's memory back within seconds

Cause: after 10,000 connections have come to rest the runtime keeps what they took while they were served, until its next collection, up to two minutes later; fasthttp keeps the goroutines of its workers, with their stacks, for 10 s.

Ruled out: a limit of twice the live heap plus 16 MB, looked at each second: the live heap of the burst stays its measure as nothing is collected afterwards (104 MB). A fixed limit such as GOMEMLIMIT=24MiB reaches 40 MB, but a node whose calls need more would spend half of its time on collecting.

--- a/e2e/memory_test.go
+++ b/e2e/memory_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -24,7 +25,7 @@
 	}
 	w := newWorld(t, chainBundle())
 	node := w.node("g")
-	t.Logf("idle: %.1f MB resident", residentOf(t, node.ID()))
+	t.Logf("idle: %.1f MB resident, %s", residentOf(t, node.ID()), statusOf(t, node.ID()))
 	for i := range keepAliveConnections {
 		conn, err := net.Dial("tcp", node.Settings.CallerAddress.String())
 		assert.NilError(t, err)
@@ -37,8 +38,11 @@
 			t.Logf("%d connections: %.1f MB resident", i+1, residentOf(t, node.ID()))
 		}
 	}
-	time.Sleep(10 * time.Second)
-	t.Logf("10 s later: %.1f MB resident", residentOf(t, node.ID()))
+	for range 4 {
+		time.Sleep(5 * time.Second)
+		t.Logf("then: %.1f MB resident", residentOf(t, node.ID()))
+	}
+	t.Log(statusOf(t, node.ID()))
 }
 
 // residentOf returns a process's resident memory in MB.
@@ -51,3 +55,17 @@
 	assert.NilError(t, err)
 	return float64(resident*int64(os.Getpagesize())) / (1 << 20)
 }
+
+// statusOf returns what the system says of a process's memory.
+func statusOf(t *testing.T, id int) string {
+	t.Helper()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", id))
+	assert.NilError(t, err)
+	var lines []string
+	for line := range strings.SplitSeq(string(data), "\n") {
+		if strings.HasPrefix(line, "Rss") {
+			lines = append(lines, strings.Join(strings.Fields(line), " "))
+		}
+	}
+	return strings.Join(lines, ", ")
+}
--- a/httpconn/server.go
+++ b/httpconn/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"time"
 
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
@@ -12,6 +13,8 @@
 	maxBodyBytes = 1 << 30
 	// headBytes bounds the head of a request.
 	headBytes = 16 << 10
+	// idleWorker is how long a goroutine waits for another connection.
+	idleWorker = 2 * time.Second
 )
 
 // ServerConfig configures a server of requests that are passed on.
@@ -33,6 +36,7 @@
 		NoDefaultServerHeader:        true,
 		NoDefaultDate:                true,
 		ReduceMemoryUsage:            true,
+		MaxIdleWorkerDuration:        idleWorker,
 		MaxRequestBodySize:           maxBodyBytes,
 		ReadBufferSize:               headBytes,
 		CloseOnShutdown:              true,
--- a/node/node.go
+++ b/node/node.go
@@ -123,6 +123,7 @@
 	group.Go(func() error { return n.shards.Run(serving, n.firstBundle) })
 	group.Go(func() error { return n.membership.Run(serving) })
 	group.Go(func() error { return n.gaugeUntil(serving) })
+	group.Go(func() error { return releaseMemoryUntil(serving) })
 	group.Go(func() error {
 		defer stop()
 		// One part that fails ends the node.
