Read small bodies in one place; take unused kinds of frames out

Cause: the bound of 64 KB stood in httpconn and in peer, and the reading of a small body three times. It now stands in request. A node also took a call whose body was longer than stated, without bound; it is a bad frame now.

The kinds 17, 21, 24, 25 and 27 were named but no node sent them; their numbers stay free, as docs/PROTOCOL.md says.

--- a/httpconn/answer.go
+++ b/httpconn/answer.go
@@ -69,7 +69,7 @@
 		finish()
 		return
 	}
-	if answer.BodySize >= 0 && answer.BodySize <= SmallBodyBytes {
+	if request.IsSmall(answer.BodySize) {
 		e.writeSmall(ctx, answer, end)
 		return
 	}
@@ -80,17 +80,15 @@
 // writeSmall reads a small body whole, so that one that breaks off becomes a
 // clear refusal instead of a short answer.
 func (e Exchange) writeSmall(ctx *fasthttp.RequestCtx, answer *request.Answer, end func(int, *request.Refusal)) {
-	// One byte more tells of a body that is longer than was stated.
-	data := make([]byte, answer.BodySize+1)
-	n, err := io.ReadFull(answer.Body, data)
-	if (err != io.EOF && err != io.ErrUnexpectedEOF) || int64(n) != answer.BodySize {
+	data, err := request.ReadSmall(answer.Body, answer.BodySize)
+	if err != nil {
 		ctx.Response.Reset()
 		refusal := request.Refuse(request.CauseBackendFailed, request.Unknown, 0)
 		WriteRefusal(ctx, refusal)
 		end(refusal.Cause.Status(), refusal)
 		return
 	}
-	ctx.Response.SetBodyRaw(data[:n])
+	ctx.Response.SetBodyRaw(data)
 	end(answer.Status, nil)
 }
 
--- a/httpconn/body.go
+++ b/httpconn/body.go
@@ -10,10 +10,6 @@
 	"auburngap/request"
 )
 
-// SmallBodyBytes is the size up to which a body is read whole before it is
-// passed on, so that it can be sent again.
-const SmallBodyBytes = 64 << 10
-
 // ErrTruncated means that a body ended before its stated size.
 var ErrTruncated = errors.New("body ended before its stated size")
 
@@ -30,27 +26,17 @@
 // ReadBody returns the body behind a stream of the stated size.
 func ReadBody(stream io.Reader, size int64) (Body, error) {
 	if stream == nil || size == 0 {
-		return wholeBody(nil), nil
+		return Body{Replay: request.Replay(nil)}, nil
 	}
-	if size > SmallBodyBytes || size < 0 {
+	if !request.IsSmall(size) {
 		return Body{Reader: &countingReader{in: stream, left: size}, Size: size}, nil
 	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(stream, data); err != nil {
+	data, err := request.ReadSmall(stream, size)
+	if err != nil {
 		return Body{}, ErrTruncated
 	}
-	return wholeBody(data), nil
-}
-
-func wholeBody(data []byte) Body {
-	body := Body{Size: int64(len(data))}
-	if len(data) == 0 {
-		body.Replay = func() io.Reader { return nil }
-		return body
-	}
-	body.Reader = bytes.NewReader(data)
-	body.Replay = func() io.Reader { return bytes.NewReader(data) }
-	return body
+	replay := request.Replay(data)
+	return Body{Reader: replay(), Size: size, Replay: replay}, nil
 }
 
 // countingReader turns an early end of a sized body into an error.
--- a/peer/body.go
+++ b/peer/body.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"sync"
@@ -10,10 +9,6 @@
 	"auburngap/request"
 )
 
-// SmallBodyBytes is the size up to which a body is held in memory, so that it
-// can be sent again.
-const SmallBodyBytes = 64 << 10
-
 var bodyBuffers = sync.Pool{New: func() any {
 	return new([MaxBodyFrameBytes]byte)
 }}
@@ -97,49 +92,20 @@
 	}
 }
 
-// isSmall tells whether a body of a stated size is read whole.
-func isSmall(size int64) bool {
-	return size >= 0 && size <= SmallBodyBytes
-}
-
 // readSmall reads a body of small stated size whole, so that the call can be
 // sent again and the stream is free to tell of a cancellation.
 func (b *bodyReader) readSmall(call *request.Call) error {
-	if !isSmall(call.BodySize) {
+	if !request.IsSmall(call.BodySize) {
 		return nil
 	}
-	whole := make([]byte, 0, call.BodySize)
-	data, err := readAll(b, whole)
+	data, err := request.ReadSmall(b, call.BodySize)
+	if errors.Is(err, request.ErrBodySize) {
+		return ErrFrame.Wrap(err, "body")
+	}
 	if err != nil {
 		return err
 	}
-	setReplay(call, data)
+	call.Replay = request.Replay(data)
+	call.Body = call.Replay()
 	return nil
 }
-
-func setReplay(call *request.Call, data []byte) {
-	if len(data) == 0 {
-		call.Body = nil
-		call.Replay = func() io.Reader { return nil }
-		return
-	}
-	call.Body = bytes.NewReader(data)
-	call.Replay = func() io.Reader { return bytes.NewReader(data) }
-}
-
-// readAll appends to buf until the reader ends.
-func readAll(r io.Reader, buf []byte) ([]byte, error) {
-	for {
-		if len(buf) == cap(buf) {
-			buf = append(buf, 0)[:len(buf)]
-		}
-		n, err := r.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		if errors.Is(err, io.EOF) {
-			return buf, nil
-		}
-		if err != nil {
-			return buf, err
-		}
-	}
-}
--- a/peer/call_client.go
+++ b/peer/call_client.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return nil, request.RefuseUnsent(call, request.CauseNoBackend, 0)
 	}
-	exchange := &exchange{session: session, stream: stream, frames: stream.frames, small: isSmall(call.BodySize)}
+	exchange := &exchange{session: session, stream: stream, frames: stream.frames, small: request.IsSmall(call.BodySize)}
 	exchange.stop = context.AfterFunc(ctx, exchange.cancel)
 	answer, err := exchange.run(call)
 	if err != nil {
--- a/peer/call_server.go
+++ b/peer/call_server.go
@@ -77,7 +77,7 @@
 	if err := sendAnswer(w, answer); err != nil {
 		return err
 	}
-	served.whole = isSmall(call.BodySize)
+	served.whole = request.IsSmall(call.BodySize)
 	return nil
 }
 
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -25,19 +25,15 @@
 	KindEnd     Kind = 6
 
 	// KindDraw and the following kinds belong to the control plane; each opens
-	// a stream of its own and is answered on it.
-	KindDraw          Kind = 16
-	KindDrawReturn    Kind = 17
-	KindBegin         Kind = 18
-	KindFinish        Kind = 19
-	KindConfirm       Kind = 20
-	KindRelease       Kind = 21
-	KindHandover      Kind = 22
-	KindAnnounce      Kind = 23
-	KindDigest        Kind = 24
-	KindBundle        Kind = 25
-	KindReply         Kind = 26
-	KindDispatchFence Kind = 27
+	// a stream of its own and is answered on it. The numbers 17, 21, 24, 25 and
+	// 27 were given once and stay free.
+	KindDraw     Kind = 16
+	KindBegin    Kind = 18
+	KindFinish   Kind = 19
+	KindConfirm  Kind = 20
+	KindHandover Kind = 22
+	KindAnnounce Kind = 23
+	KindReply    Kind = 26
 )
 
 const (
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -245,6 +245,23 @@
 	}
 }
 
+// TestBodyOfAnotherSize shows that a small call does not run with a body that is
+// shorter or longer than it states.
+func TestBodyOfAnotherSize(t *testing.T) {
+	handler := request.HandlerFunc(func(context.Context, *request.Call) (*request.Answer, error) {
+		t.Error("the call has run")
+		return nil, request.Refuse(request.CauseBadRequest, request.Unknown, 0)
+	})
+	address := startServer(t, handler, nil)
+	pool := newPool(t, nil)
+	for _, size := range []int64{0, 4, 6} {
+		call := newCall("three")
+		call.BodySize = size
+		_, err := pool.Call(t.Context(), address, call)
+		assert.Equal(t, request.AsRefusal(err).Cause, request.CauseBackendFailed)
+	}
+}
+
 func TestUnreachableIsNotRun(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
