Test processes through platform trouble, paused owners and rolling restarts

TestCommitmentsInPlatformTrouble kills an owner while the platform is slow and loses answers, and another while it is down: no payment runs twice, each that was answered ran once. TestPausedOwners stops the owners of all shards until others have taken over and wakes them, at six times a workspace's rate. TestCommitmentsInRollingRestart restarts every node: none of the payments may end unknown or not run.

--- a/e2e/cut_test.go
+++ b/e2e/cut_test.go
@@ -19,6 +19,9 @@
 const (
 	// cutTime is the time for which a zone is cut off.
 	cutTime = 20 * time.Second
+	// slowStart is the time after which no backend server counts as cold; before,
+	// calls spill over to the other zone at a low load.
+	slowStart = 10 * time.Second
 	// noticeTime is two heartbeats of a session: by then every node has closed
 	// its sessions across the cut. Before, calls across it may fail: no more
 	// than noticeFailures of the requests.
@@ -91,6 +94,7 @@
 // a version rolled out meanwhile reaches the zone that can be reached at once,
 // the other one after the heal, with a restart in the cut on the way.
 func TestCutZone(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name     string
 		refusing bool
@@ -123,7 +127,7 @@
 			return w.callerAddressesIn(zone, restarted)
 		})
 	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(slowStart)
 
 	network.cut(far, refusing)
 	cutAt := time.Now()
--- /dev/null
+++ b/e2e/faults_test.go
@@ -0,0 +1,154 @@
+package e2e
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"auburngap/platform/fake"
+)
+
+// payers pay side by side until they are ended.
+type payers struct {
+	w     *world
+	stop  chan struct{}
+	group sync.WaitGroup
+	all   []*payer
+}
+
+func (w *world) startPayers(n int) *payers {
+	p := &payers{w: w, stop: make(chan struct{})}
+	for i := range n {
+		one := &payer{w: w, random: rand.New(rand.NewPCG(uint64(i), 2))}
+		p.all = append(p.all, one)
+		p.group.Go(func() { p.pay(one) })
+	}
+	return p
+}
+
+func (p *payers) pay(one *payer) {
+	for {
+		select {
+		case <-p.stop:
+			return
+		case <-time.After(20 * time.Millisecond):
+			one.payOnce()
+		}
+	}
+}
+
+// end stops the payers and returns how many payments ended in which way. No
+// payment may have run twice, and each that was answered must have run.
+func (p *payers) end(t *testing.T) (answered, unknown, notRun int) {
+	t.Helper()
+	close(p.stop)
+	p.group.Wait()
+	for _, one := range p.all {
+		for _, key := range one.answered {
+			assert.Equal(t, p.w.runs(key), 1, "an answered payment")
+		}
+		for _, key := range append(one.unknown, one.notRun...) {
+			assert.Assert(t, p.w.runs(key) <= 1, "a payment ran %d times", p.w.runs(key))
+		}
+		answered += len(one.answered)
+		unknown += len(one.unknown)
+		notRun += len(one.notRun)
+	}
+	t.Logf("%d payments answered, %d unknown, %d not run", answered, unknown, notRun)
+	return answered, unknown, notRun
+}
+
+// TestCommitmentsInPlatformTrouble pays while the platform is slow and loses
+// answers and an owner is killed, then while it is down and another one is. No
+// payment may run twice, and each that was answered has run once.
+func TestCommitmentsInPlatformTrouble(t *testing.T) {
+	t.Parallel()
+	w := newReplicatedWorld(t, payBundle(), 3)
+	w.waitUntilPaid()
+	admin := fake.Admin{Address: w.site.Platform}
+	owners := []string{w.owner("palermo"), w.owner("catania")}
+	trouble := []fake.Faults{
+		{DelayMicros: (300 * time.Millisecond).Microseconds(), LoseAnswers: 50},
+		{Down: true},
+	}
+	payers := w.startPayers(8)
+	for i, faults := range trouble {
+		time.Sleep(time.Second)
+		assert.NilError(t, admin.SetFaults(w.ctx, faults))
+		time.Sleep(time.Second)
+		w.site.Node(owners[i]).Kill()
+		time.Sleep(time.Second)
+		assert.NilError(t, w.site.StartNode(w.ctx, owners[i]))
+		time.Sleep(3 * time.Second)
+		assert.NilError(t, admin.SetFaults(w.ctx, fake.Faults{}))
+	}
+	payers.end(t)
+	w.waitUntilPaid()
+	w.expectNoViolation()
+}
+
+// TestPausedOwners stops the owners of all shards for longer than their leases,
+// until others have taken over, and wakes them, at six times a workspace's rate.
+// No window may exceed rate and burst, and no owner may act beside another one.
+func TestPausedOwners(t *testing.T) {
+	t.Parallel()
+	const rate, burst = 100, 50
+	b := pairBundle()
+	b.Workspaces[1].Rate = rate
+	b.Workspaces[1].Burst = burst
+	w := newReplicatedWorld(t, b, 3)
+	paused := map[string]string{"palermo": w.owner("palermo"), "catania": w.owner("catania")}
+	var through, others []netip.AddrPort
+	for _, vm := range w.vms() {
+		address := w.site.Node(vm.name).Settings.CallerAddress
+		if paused[vm.zone] == vm.name {
+			through = append(through, address)
+			continue
+		}
+		others = append(others, address)
+	}
+	count := w.meterRate("/single", rate)
+	// The callers of the paused nodes wait there and go on when these wake.
+	waiting := w.startTraffic(8, 20*time.Millisecond, "/single", parishKey, func() []netip.AddrPort { return through })
+	flood := w.startTraffic(12, 20*time.Millisecond, "/single", parishKey, func() []netip.AddrPort { return others })
+	time.Sleep(2 * time.Second)
+	for _, vm := range paused {
+		w.site.Node(vm).Pause()
+	}
+	for zone, vm := range paused {
+		w.waitFor("takeover in "+zone, func() bool { return w.owner(zone) != vm })
+	}
+	time.Sleep(time.Second)
+	for _, vm := range paused {
+		w.site.Node(vm).Continue()
+	}
+	time.Sleep(3 * time.Second)
+	waiting.end()
+	flood.end()
+	count.expect(t, burst)
+	w.expectNoViolation()
+}
+
+// TestCommitmentsInRollingRestart restarts every node of a site, one after the
+// other, under commitments: each payment ends answered.
+func TestCommitmentsInRollingRestart(t *testing.T) {
+	w := newReplicatedWorld(t, payBundle(), 3)
+	w.waitUntilPaid()
+	payers := w.startPayers(8)
+	for _, vm := range w.vms() {
+		node := w.site.Node(vm.name)
+		node.Terminate()
+		assert.Assert(t, node.Wait(30*time.Second), "node of %s did not end by itself", vm.name)
+		assert.NilError(t, w.site.StartNode(w.ctx, vm.name))
+		w.waitUntilNodeServes(vm.name)
+	}
+	answered, unknown, notRun := payers.end(t)
+	expectServed(t, answered, 500)
+	assert.Equal(t, unknown, 0)
+	assert.Equal(t, notRun, 0)
+	w.expectNoViolation()
+}
