Choose backend servers by the calls that a call has to wait for

Cause: a server's load said nothing of the priorities in it.

Change: answers tell the running and queued calls of a server by priority, and the choice of a server counts those at least as important as the call. A more important call leaves its zone where calls like it fill the servers there. Nodes of the version before count as having only most important calls, as now. The duplicate count of queued calls goes.

--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -54,6 +54,8 @@
 	shares   fairShare
 	levels   levels
 	inFlight int
+	// occupied counts the running and queued calls.
+	occupied request.Occupancy
 	started  []*Ticket
 	dropped  []Drop
 }
@@ -83,8 +85,8 @@
 // InFlight returns the calls that run now.
 func (l *Limiter) InFlight() int { return l.inFlight }
 
-// Queued returns the calls that wait.
-func (l *Limiter) Queued() int { return l.queue.len() }
+// Occupancy returns the calls that run or wait, by priority.
+func (l *Limiter) Occupancy() request.Occupancy { return l.occupied }
 
 // Offer decides on a new call. Changes may drop queued tickets in its favour.
 func (l *Limiter) Offer(t *Ticket, now time.Time) (Verdict, Changes) {
@@ -98,6 +100,7 @@
 	}
 	l.shares.charge(t)
 	if l.inFlight < l.limit.value() && l.queue.len() == 0 {
+		l.occupied.Add(t.Priority, 1)
 		l.run(t, now)
 		return Verdict{Action: Run}, l.changes()
 	}
@@ -108,6 +111,7 @@
 	}
 	t.state = ticketQueued
 	l.queue.add(t)
+	l.occupied.Add(t.Priority, 1)
 	l.startQueued(now)
 	if t.state == ticketRunning {
 		l.started = l.started[:len(l.started)-1]
@@ -239,12 +243,14 @@
 
 func (l *Limiter) unqueue(t *Ticket) {
 	l.queue.remove(t)
+	l.occupied.Add(t.Priority, -1)
 	l.shares.refund(t)
 	t.state = ticketIdle
 }
 
 func (l *Limiter) free(t *Ticket) {
 	l.inFlight--
+	l.occupied.Add(t.Priority, -1)
 	l.levels.departed()
 	l.shares.release(t)
 	t.state = ticketIdle
@@ -265,8 +271,8 @@
 }
 
 // maxSojourn is the longest wait in the queue. Where calls take longer than
-// the configured bound it is half of a call's time: a shorter queue could not
-// bridge the gap between two calls that end.
+// the configured bound it is one call's time: a shorter queue could not bridge
+// the gap between two calls that end.
 func (l *Limiter) maxSojourn() time.Duration {
 	return max(l.config.MaxSojourn, l.limit.mean)
 }
--- a/admission/limiter_test.go
+++ b/admission/limiter_test.go
@@ -88,7 +88,11 @@
 
 func (m *limiterModel) check(t *rapid.T) {
 	assert.Equal(t, m.limiter.InFlight(), len(m.running))
-	assert.Equal(t, m.limiter.Queued(), len(m.queued))
+	var occupancy request.Occupancy
+	for _, ticket := range slices.Concat(m.running, m.queued) {
+		occupancy.Add(ticket.Priority, 1)
+	}
+	assert.Equal(t, m.limiter.Occupancy(), occupancy)
 	assert.Assert(t, m.limiter.Limit() >= 1 && m.limiter.Limit() <= 8)
 	assert.Assert(t, len(m.running) <= 8)
 	if len(m.queued) > 0 {
--- a/experiment/call.go
+++ b/experiment/call.go
@@ -55,7 +55,7 @@
 		return
 	}
 	c.number++
-	choice, ok := c.from.pickers[c.spec.service].PickOther(s.now, s.random, c.tried)
+	choice, ok := c.from.pickers[c.spec.service].PickOther(s.now, s.random, c.request.priority(), c.tried)
 	if !ok {
 		c.retryOr(notRunNoBackend)
 		return
@@ -230,12 +230,12 @@
 	if s.policy.gate && o != notRunNoBackend {
 		a.signal[a.target.service] = a.target.limiter.Level(s.now)
 	}
-	load, limit := a.target.limiter.InFlight()+a.target.limiter.Queued(), a.target.limiter.Limit()
+	load, limit := a.target.limiter.Occupancy(), a.target.limiter.Limit()
 	s.after(s.delay(a.call.from.zone, a.target.zone), func() { a.answer(o, load, limit) })
 }
 
 // answer arrives at the calling node.
-func (a *attempt) answer(o outcome, load, limit int) {
+func (a *attempt) answer(o outcome, load request.Occupancy, limit int) {
 	c := a.call
 	now, picker := c.request.sim.now, c.from.pickers[c.spec.service]
 	if c.request.sim.policy.limiter && o.cause != request.CauseNoBackend {
--- a/node/guard.go
+++ b/node/guard.go
@@ -176,7 +176,7 @@
 	return request.ServiceLoad{
 		Service:    g.service,
 		AdmitLevel: g.limiter.Level(time.Now()),
-		InFlight:   g.limiter.InFlight() + g.limiter.Queued(),
+		InFlight:   g.limiter.Occupancy(),
 		Limit:      g.limiter.Limit(),
 		Draining:   draining,
 	}
--- a/node/membership.go
+++ b/node/membership.go
@@ -55,11 +55,12 @@
 		m.since = time.Now()
 		m.onService()
 	}
+	load := m.local.guard.load(false)
 	m.directory.SetBackend(directory.Backend{
 		Service:     announced.Service,
 		Slots:       announced.Slots,
 		Connections: announced.Connections,
-		Load:        m.local.guard.load(false).InFlight,
+		Load:        load.InFlight.All(),
 		Draining:    announced.Draining || m.local.leaving.Load(),
 		Since:       m.since,
 	})
--- a/node/router.go
+++ b/node/router.go
@@ -114,7 +114,7 @@
 }
 
 func (r *router) attempt(ctx context.Context, call *request.Call, picker *servicePicker, tried *route.Choice) (*route.Choice, *request.Answer, error) {
-	choice, ok := picker.pick(tried)
+	choice, ok := picker.pick(call.Context.Priority, tried)
 	if !ok {
 		return nil, nil, request.RefuseUnsent(call, request.CauseNoBackend, time.Second)
 	}
--- a/node/routes.go
+++ b/node/routes.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"auburngap/request"
 	"auburngap/route"
 )
 
@@ -57,13 +58,13 @@
 }
 
 // pick chooses a backend server, not the one tried before where there is one.
-func (p *servicePicker) pick(tried *route.Choice) (route.Choice, bool) {
+func (p *servicePicker) pick(priority request.Priority, tried *route.Choice) (route.Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if tried != nil {
-		return p.picker.PickOther(time.Now(), p.random, *tried)
+		return p.picker.PickOther(time.Now(), p.random, priority, *tried)
 	}
-	return p.picker.Pick(time.Now(), p.random)
+	return p.picker.Pick(time.Now(), p.random, priority)
 }
 
 // done ends a choice's call, with the signal that came back if there was one.
@@ -79,7 +80,8 @@
 
 // loadSignal is the load of the backend server that answered.
 type loadSignal struct {
-	inFlight, limit int
+	inFlight request.Occupancy
+	limit    int
 }
 
 // random returns a number for the retry policy.
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -76,9 +76,11 @@
 		signal.Services[i] = &peerpb.ServiceLoad{
 			Service:    l.Service,
 			AdmitLevel: uint32(l.AdmitLevel),
-			InFlight:   uint32(max(l.InFlight, 0)),
+			InFlight:   uint32(max(l.InFlight.All(), 0)),
 			Limit:      uint32(max(l.Limit, 0)),
 			Draining:   l.Draining,
+
+			InFlightByPriority: occupancyToMessage(l.InFlight),
 		}
 	}
 	return signal
@@ -94,7 +96,7 @@
 		loads[i] = request.ServiceLoad{
 			Service:    s.GetService(),
 			AdmitLevel: uint16(min(s.GetAdmitLevel(), 1<<16-1)),
-			InFlight:   int(s.GetInFlight()),
+			InFlight:   occupancyFromMessage(s),
 			Limit:      int(s.GetLimit()),
 			Draining:   s.GetDraining(),
 		}
@@ -102,6 +104,25 @@
 	return loads
 }
 
+func occupancyToMessage(o request.Occupancy) []uint32 {
+	counts := make([]uint32, len(o)-1)
+	for p := range counts {
+		counts[p] = uint32(max(o[p], 0))
+	}
+	return counts
+}
+
+// occupancyFromMessage takes calls whose priority is not told as the most important.
+func occupancyFromMessage(load *peerpb.ServiceLoad) request.Occupancy {
+	o := request.Occupied(int(load.GetInFlight()))
+	for p, count := range load.GetInFlightByPriority() {
+		if p < len(o)-1 {
+			o[p] = int(min(count, load.GetInFlight()))
+		}
+	}
+	return o
+}
+
 func refusalToMessage(r *request.Refusal) *peerpb.Refusal {
 	return &peerpb.Refusal{
 		Cause:            uint32(r.Cause),
--- a/request/call.go
+++ b/request/call.go
@@ -71,9 +71,10 @@
 	Service string
 	// AdmitLevel is the admission level up to which requests are admitted.
 	AdmitLevel uint16
-	// InFlight and Limit are those of the answering node's backend server.
-	InFlight int
-	Limit    int
+	// InFlight counts the calls that run or wait at the answering node's backend server.
+	InFlight Occupancy
+	// Limit is the number of calls that it may run at once.
+	Limit int
 	// Draining tells that the answering backend server takes no new work.
 	Draining bool
 }
--- a/route/group.go
+++ b/route/group.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"auburngap/request"
 )
 
 // sampleTries bounds the random draws before a group is searched in order.
@@ -27,19 +29,19 @@
 	return g
 }
 
-// best draws two servers by their slots and returns the less utilized one, or
+// best draws two servers by their slots and returns the one less utilized for the priority, or
 // nil where no server but the avoided one is available.
-func (g *group) best(p *Picker, now time.Time, rng *rand.Rand, avoid *server) (*server, float64) {
+func (g *group) best(p *Picker, now time.Time, rng *rand.Rand, priority request.Priority, avoid *server) (*server, float64) {
 	first := g.sample(now, rng, avoid)
 	if first == nil {
 		return nil, 0
 	}
-	firstUtilization := first.utilization(now, &p.config, p.latency)
+	firstUtilization := first.utilization(now, &p.config, p.latency, priority)
 	second := g.sample(now, rng, avoid)
 	if second == first {
 		second = g.sample(now, rng, avoid)
 	}
-	secondUtilization := second.utilization(now, &p.config, p.latency)
+	secondUtilization := second.utilization(now, &p.config, p.latency, priority)
 	if secondUtilization < firstUtilization {
 		return second, secondUtilization
 	}
--- a/route/picker.go
+++ b/route/picker.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"auburngap/request"
 )
 
 // Picker chooses among the backend servers of one service. It is not safe for
@@ -60,7 +62,7 @@
 	relisted := !s.listed
 	s.listed, s.update = true, p.update
 	if !known {
-		s.report(now, target.Load)
+		s.report(now, request.Occupied(target.Load))
 	}
 	if !relisted && s.sameBut(target) {
 		return false
@@ -110,33 +112,33 @@
 	return servers
 }
 
-// Pick chooses a server for one call and counts the call as in flight; false
-// where no server may get new work.
-func (p *Picker) Pick(now time.Time, rng *rand.Rand) (Choice, bool) {
-	return p.PickOther(now, rng, Choice{})
+// Pick chooses a server for one call of the priority and counts the call as in
+// flight; false where no server may get new work.
+func (p *Picker) Pick(now time.Time, rng *rand.Rand, priority request.Priority) (Choice, bool) {
+	return p.PickOther(now, rng, priority, Choice{})
 }
 
 // PickOther is Pick for a retry: it avoids the server that was tried before.
 // An ejected server is better than none.
-func (p *Picker) PickOther(now time.Time, rng *rand.Rand, tried Choice) (Choice, bool) {
-	chosen := p.choose(now, rng, tried.server)
+func (p *Picker) PickOther(now time.Time, rng *rand.Rand, priority request.Priority, tried Choice) (Choice, bool) {
+	chosen := p.choose(now, rng, priority, tried.server)
 	if chosen == nil {
 		chosen = p.ejected(now, tried.server)
 	}
 	if chosen == nil {
 		return Choice{}, false
 	}
-	chosen.inFlight++
-	return Choice{Target: chosen.target, server: chosen}, true
+	chosen.inFlight.Add(priority, 1)
+	return Choice{Target: chosen.target, server: chosen, priority: priority}, true
 }
 
 // choose prefers the own zone until it is utilized above SpillAt.
-func (p *Picker) choose(now time.Time, rng *rand.Rand, avoid *server) *server {
-	local, utilization := p.local.best(p, now, rng, avoid)
+func (p *Picker) choose(now time.Time, rng *rand.Rand, priority request.Priority, avoid *server) *server {
+	local, utilization := p.local.best(p, now, rng, priority, avoid)
 	if local != nil && utilization < p.config.SpillAt {
 		return local
 	}
-	remote, remoteUtilization := p.remote.best(p, now, rng, avoid)
+	remote, remoteUtilization := p.remote.best(p, now, rng, priority, avoid)
 	if remote == nil {
 		return local
 	}
@@ -162,9 +164,9 @@
 	return first
 }
 
-// Observe takes in the signal that came with an answer: the calls in flight
-// and the concurrency limit, as counted by the node beside the server.
-func (p *Picker) Observe(now time.Time, choice Choice, inFlight, limit int) {
+// Observe takes in the signal that came with an answer: the calls in flight or
+// queued and the concurrency limit, as counted by the node beside the server.
+func (p *Picker) Observe(now time.Time, choice Choice, inFlight request.Occupancy, limit int) {
 	s := choice.server
 	s.report(now, inFlight)
 	s.limit = limit
@@ -173,7 +175,7 @@
 // Done ends the call of a choice. Latency counts for Succeeded alone.
 func (p *Picker) Done(now time.Time, choice Choice, result Result, latency time.Duration) {
 	s := choice.server
-	s.inFlight--
+	s.inFlight.Add(choice.priority, -1)
 	switch result {
 	case Cancelled:
 	case Succeeded:
@@ -183,7 +185,7 @@
 	case Failed:
 		p.fail(now, s)
 	case Overloaded:
-		s.report(now, s.target.Slots)
+		s.refuse(now, choice.priority)
 	case Draining:
 		s.drainingUntil = now.Add(p.config.DrainMemory)
 	}
--- a/route/picker_test.go
+++ b/route/picker_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"auburngap/request"
 	"auburngap/route"
 )
 
@@ -48,7 +49,7 @@
 	rng := rand.New(rand.NewPCG(1, 2))
 	picks := make(map[string]int)
 	for range n {
-		choice, ok := p.Pick(now, rng)
+		choice, ok := p.Pick(now, rng, 0)
 		if !ok {
 			continue
 		}
@@ -108,6 +109,26 @@
 	}
 }
 
+// TestPickByPriority: a call goes by the calls that it has to wait for, those at
+// least as important, and leaves its zone where these fill the servers.
+func TestPickByPriority(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	p := route.New(route.Config{VM: "n", Zone: "a"})
+	targets := []route.Target{makeTarget(0, "a"), makeTarget(0, "b")}
+	p.Update(start, targets)
+	loads := map[string]request.Occupancy{"a": {12, 12, 12, 12}, "b": {2, 12, 12, 12}}
+	for _, priority := range []request.Priority{0, 1, 0, 1} {
+		choice, _ := p.Pick(start, rng, priority)
+		p.Observe(start, choice, loads[choice.Target.Zone], 10)
+		p.Done(start, choice, route.Succeeded, time.Millisecond)
+	}
+	for priority, want := range []string{"b", "a", "a", "a"} {
+		choice, _ := p.Pick(start, rng, request.Priority(priority))
+		assert.Equal(t, choice.Target.Zone, want, "priority %d", priority)
+		p.Done(start, choice, route.Cancelled, 0)
+	}
+}
+
 func TestEjectedServerComesBack(t *testing.T) {
 	p := route.New(route.Config{VM: "n", Zone: "a"})
 	p.Update(start, makeTargets("a", 4))
@@ -177,7 +198,7 @@
 				now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond)
 			},
 			"pick": func(t *rapid.T) {
-				choice, ok := p.Pick(now, rng)
+				choice, ok := p.Pick(now, rng, 0)
 				if !ok {
 					for _, target := range targets {
 						usable := !target.Draining && now.Sub(refusedAt[target.VM]) >= 10*time.Second
@@ -194,7 +215,7 @@
 				if choice.Target.Draining || now.Sub(refusedAt[choice.Target.VM]) < 10*time.Second {
 					t.Fatalf("%s is draining", choice.Target.VM)
 				}
-				if other, ok := p.PickOther(now, rng, choice); ok {
+				if other, ok := p.PickOther(now, rng, 0, choice); ok {
 					if other.Target.VM == choice.Target.VM {
 						t.Fatalf("retry at the same server")
 					}
@@ -223,7 +244,7 @@
 	p.Update(start, makeTargets("a", 100))
 	rng := rand.New(rand.NewPCG(1, 2))
 	allocations := testing.AllocsPerRun(1000, func() {
-		choice, _ := p.Pick(start, rng)
+		choice, _ := p.Pick(start, rng, 0)
 		p.Done(start, choice, route.Succeeded, time.Millisecond)
 	})
 	assert.Equal(t, allocations, 0.0)
@@ -238,7 +259,7 @@
 				rng := rand.New(rand.NewPCG(1, 2))
 				b.ReportAllocs()
 				for b.Loop() {
-					choice, _ := p.Pick(start, rng)
+					choice, _ := p.Pick(start, rng, 0)
 					p.Done(start, choice, route.Succeeded, time.Millisecond)
 				}
 			})
--- a/route/policy_test.go
+++ b/route/policy_test.go
@@ -9,6 +9,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"gotest.tools/v3/assert"
 
+	"auburngap/request"
 	"auburngap/route"
 )
 
@@ -87,7 +88,7 @@
 		}
 		for arrivals := rng.ExpFloat64(); arrivals < perTick; arrivals += rng.ExpFloat64() {
 			n := rng.IntN(nodes)
-			choice, _ := pickers[n].Pick(now, rng)
+			choice, _ := pickers[n].Pick(now, rng, 0)
 			fake := byVM[choice.Target.VM]
 			fake.callers[n] = choice
 			work := 1 + int(rng.ExpFloat64()*serviceMillis*fake.slow)
@@ -101,7 +102,7 @@
 					took = 1
 				}
 				if in.signals {
-					pickers[c.node].Observe(now, c.choice, fake.load(), fake.slots)
+					pickers[c.node].Observe(now, c.choice, request.Occupied(fake.load()), fake.slots)
 				}
 				pickers[c.node].Done(now, c.choice, route.Succeeded, time.Duration(took)*time.Millisecond)
 			}
@@ -115,7 +116,7 @@
 func announce(now time.Time, pickers []*route.Picker, fakes []*fakeServer) {
 	for _, fake := range fakes {
 		for node, choice := range fake.callers {
-			pickers[node].Observe(now, choice, fake.reported, fake.slots)
+			pickers[node].Observe(now, choice, request.Occupied(fake.reported), fake.slots)
 		}
 		if !fake.stuck {
 			fake.reported = fake.load()
--- a/route/route.go
+++ b/route/route.go
@@ -8,7 +8,7 @@
 //
 //	picker := route.New(route.Config{VM: "vm-7", Zone: "khomas-1"})
 //	picker.Update(now, targets)               // whenever the directory changes
-//	choice, ok := picker.Pick(now, rng)       // false: no backend server is left
+//	choice, ok := picker.Pick(now, rng, priority) // false: no backend server is left
 //	...                                       // send the call to choice.Target.Address
 //	picker.Observe(now, choice, inFlight, limit) // the signal of the answer, if any
 //	picker.Done(now, choice, route.Succeeded, latency)
@@ -20,6 +20,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"auburngap/request"
 )
 
 // Target is a backend server as the directory lists it.
@@ -49,7 +51,8 @@
 	// Target is never changed.
 	Target *Target
 
-	server *server
+	server   *server
+	priority request.Priority
 }
 
 // Result tells how a call ended, as far as the choice of servers goes.
--- a/route/server.go
+++ b/route/server.go
@@ -1,6 +1,10 @@
 package route
 
-import "time"
+import (
+	"time"
+
+	"auburngap/request"
+)
 
 // The bounds of how a server's share is bent.
 const (
@@ -23,9 +27,9 @@
 	// update is the last Update that listed it.
 	update uint64
 	// inFlight counts this node's own calls.
-	inFlight int
+	inFlight request.Occupancy
 	// others is the load that the last report left beside this node's own calls.
-	others     int
+	others     request.Occupancy
 	reportedAt time.Time
 	// limit is the concurrency limit that the server's node last told; zero is unknown.
 	limit int
@@ -41,9 +45,20 @@
 	drainingUntil time.Time
 }
 
-// report takes in a total load and leaves what is not this node's own.
-func (s *server) report(now time.Time, load int) {
-	s.others = max(0, load-s.inFlight)
+// report takes in a load and leaves what is not this node's own.
+func (s *server) report(now time.Time, load request.Occupancy) {
+	for p := range load {
+		s.others[p] = max(0, load[p]-s.inFlight[p])
+	}
+	s.reportedAt = now
+}
+
+// refuse takes in that the server has no slot for calls of the priority and the
+// less important ones.
+func (s *server) refuse(now time.Time, priority request.Priority) {
+	for p := priority; p < request.Priorities; p++ {
+		s.others[p] = max(0, s.target.Slots-s.inFlight[p])
+	}
 	s.reportedAt = now
 }
 
@@ -57,12 +72,13 @@
 	return s.target.Draining || now.Before(s.drainingUntil)
 }
 
-// utilization estimates the part of the server's slots in use, were it to get
-// one more call, raised for cold and slow servers.
-func (s *server) utilization(now time.Time, c *Config, mean time.Duration) float64 {
-	load := 1 + s.inFlight
+// utilization estimates the part of the server's slots that calls at least as
+// important as one of the priority use, were it to get that one too, raised for
+// cold and slow servers. Less important calls give way to it in the queue.
+func (s *server) utilization(now time.Time, c *Config, mean time.Duration, priority request.Priority) float64 {
+	load := 1 + s.inFlight[priority]
 	if now.Sub(s.reportedAt) < c.ReportTTL {
-		load += s.others
+		load += s.others[priority]
 	}
 	return float64(load) * s.slowness(now, c, mean) / (s.slots() * s.warmth(now, c))
 }
@@ -70,7 +86,7 @@
 // forgettable tells whether nothing known of a dropped server matters, should
 // the directory list it again.
 func (s *server) forgettable(now time.Time) bool {
-	return s.inFlight == 0 && !now.Before(s.drainingUntil) && !now.Before(s.ejectedUntil)
+	return s.inFlight.All() == 0 && !now.Before(s.drainingUntil) && !now.Before(s.ejectedUntil)
 }
 
 func (s *server) slots() float64 {
