Try a concurrency limit seldom, on enough calls, and let half use grow it

(1) A trial decided on one window of a second: at 10 slots and 300 ms that is 33 calls, so chance alone moved the mean by the eighth that decides. (2) Every new limit and every slower service had its trial just as the surge began. (3) A limit grew only while all of it was in use: notices entered the surge with half its slots.

One that has stood is tried for slowness only after a minute of it: a server that silently loses slots is found a minute later (TestLimitFollowsLostSlots).

TestTriedLimitStaysInSlowdown and TestLimitFollowsLostSlots are new. The model of the tests left the calls of one server running for ever when it went on to the next, so TestLimitStaysWithSlowServer measured a jammed limiter; it now ends them, which makes that test stricter.

--- a/admission/levels.go
+++ b/admission/levels.go
@@ -102,6 +102,11 @@
 	l.level = l.fill(l.margin * capacity)
 }
 
+// running returns the mean number of calls that run of late.
+func (l *levels) running() float64 {
+	return l.averages.held / levelWindow.Seconds()
+}
+
 // fill returns the level at which the demand adds up to the rate.
 func (l *levels) fill(rate float64) uint16 {
 	left := rate
--- a/admission/limit_test.go
+++ b/admission/limit_test.go
@@ -69,6 +69,12 @@
 			count++
 		}
 	}
+	// The next server would never end these.
+	for i := 0; i < len(calls); i++ {
+		for _, t := range l.Cancel(calls[i].ticket, now).Started {
+			start(t)
+		}
+	}
 	return float64(sum) / float64(count), now
 }
 
@@ -100,6 +106,29 @@
 	assert.Assert(t, mean >= 34, "mean limit %.1f", mean)
 }
 
+// TestLimitFollowsLostSlots: a server that silently has fewer slots than its
+// limit once stood for is found out, if not at once.
+func TestLimitFollowsLostSlots(t *testing.T) {
+	limiter := New(Config{Slots: 35})
+	_, now := modelServer{slots: 35, own: 20 * time.Millisecond}.saturate(limiter, epoch, 10*time.Second)
+	mean, _ := modelServer{slots: 15, own: 20 * time.Millisecond}.saturate(limiter, now, 3*time.Minute)
+	assert.Assert(t, mean >= 15 && mean <= 30, "mean limit %.1f", mean)
+}
+
+// TestTriedLimitStaysInSlowdown: a limit that has stood a trial is not tried
+// again as soon as its server is slower.
+func TestTriedLimitStaysInSlowdown(t *testing.T) {
+	for _, test := range []struct {
+		slowAfter time.Duration
+		whole     bool
+	}{{0, true}, {time.Nanosecond, false}} {
+		limiter := New(Config{Slots: 10, SlowAfter: test.slowAfter})
+		_, now := modelServer{slots: 10, own: 20 * time.Millisecond}.saturate(limiter, epoch, 10*time.Second)
+		mean, _ := modelServer{slots: 10, own: 100 * time.Millisecond}.saturate(limiter, now, 5*time.Second)
+		assert.Equal(t, mean == 10, test.whole, "mean limit %.1f", mean)
+	}
+}
+
 // TestLevelOfStuckServer: a server whose calls never end admits next to
 // nothing, and everything again once they have gone.
 func TestLevelOfStuckServer(t *testing.T) {
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -17,6 +17,9 @@
 	StartShare float64
 	// MaxSojourn is the longest wait in the queue; 50 ms.
 	MaxSojourn time.Duration
+	// SlowAfter is the time of slow calls after which a limit that has been tried
+	// is tried again; a minute.
+	SlowAfter time.Duration
 	// QueueShare is the length of the queue as a part of the limit; 1.
 	QueueShare float64
 	// Margin is the rate that the admission level lets in as a part of what the
@@ -40,6 +43,9 @@
 	if c.Margin <= 0 {
 		c.Margin = DefaultMargin
 	}
+	if c.SlowAfter <= 0 {
+		c.SlowAfter = time.Minute
+	}
 	if c.QueueShare <= 0 {
 		c.QueueShare = 1
 	}
@@ -64,7 +70,7 @@
 func New(config Config) *Limiter {
 	config = config.withDefaults()
 	l := &Limiter{config: config, queue: newQueue(), shares: newFairShare(), levels: newLevels(config.Margin)}
-	l.limit.floor = 1
+	l.limit.floor, l.limit.slowAfter = 1, config.SlowAfter
 	l.Announce(config.Slots)
 	l.limit.current = l.limit.ceiling
 	if !config.Fixed {
@@ -130,7 +136,7 @@
 		result.Own = now.Sub(t.started)
 	}
 	if !l.config.Fixed {
-		l.limit.observe(now, t.started, result)
+		l.limit.observe(now, t.started, result, l.levels.running())
 	}
 	l.free(t)
 	l.startQueued(now)
