--- a/admission/levels.go
+++ b/admission/levels.go
@@ -107,6 +107,15 @@
 	return l.averages.held / levelWindow.Seconds()
 }
 
+// held returns how long a call holds its slot, with its calls to other
+// services; zero where it is not known.
+func (l *levels) held() time.Duration {
+	if l.averages.departures < readableRate {
+		return 0
+	}
+	return time.Duration(l.averages.held / l.averages.departures * float64(time.Second))
+}
+
 // fill returns the level at which the demand adds up to the rate.
 func (l *levels) fill(rate float64) uint16 {
 	left := rate
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -17,6 +17,9 @@
 	StartShare float64
 	// MaxSojourn is the longest wait in the queue; 50 ms.
 	MaxSojourn time.Duration
+	// SojournShare bounds the wait by a part of the time that calls hold their
+	// slots, where that is more; 0.5, and none if negative.
+	SojournShare float64
 	// SlowAfter is the time of slow calls after which a limit that has been tried
 	// is tried again; a minute.
 	SlowAfter time.Duration
@@ -43,6 +46,9 @@
 	if c.Margin <= 0 {
 		c.Margin = DefaultMargin
 	}
+	if c.SojournShare == 0 {
+		c.SojournShare = 0.5
+	}
 	if c.SlowAfter <= 0 {
 		c.SlowAfter = time.Minute
 	}
@@ -273,12 +279,18 @@
 
 // expectedWait is the time that the queue needs to drain.
 func (l *Limiter) expectedWait() time.Duration {
-	return time.Duration(float64(l.queue.len()) * float64(l.limit.mean) / l.limit.current)
+	return time.Duration(float64(l.queue.len()) * float64(l.held()) / l.limit.current)
+}
+
+// held is how long a call holds its slot, with the calls that it makes.
+func (l *Limiter) held() time.Duration {
+	return max(l.limit.mean, l.levels.held())
 }
 
 // maxSojourn is the longest wait in the queue. Where calls take longer than
-// the configured bound it is one call's time: a shorter queue could not bridge
-// the gap between two calls that end.
+// the configured bound it follows them: a shorter queue could not bridge the
+// gap between two calls that end.
 func (l *Limiter) maxSojourn() time.Duration {
-	return max(l.config.MaxSojourn, l.limit.mean)
+	byHeld := time.Duration(l.config.SojournShare * float64(l.held()))
+	return max(l.config.MaxSojourn, l.limit.mean, byHeld)
 }
