Eject the only server of a zone where another zone has one

Change: the last one of a group may be ejected while the other group has an available server; five failures in a row are still needed, and an ejected server is still better than none.

TestPick has a case more, "failing, the only one of its zone".

--- a/route/group.go
+++ b/route/group.go
@@ -79,8 +79,9 @@
 	return nil
 }
 
-// mayEject tells whether the floor of servers left allows one more ejection.
-func (g *group) mayEject(now time.Time, maxEjected float64) bool {
+// mayEject tells whether the floor of servers left allows one more ejection. The
+// last one of the group may go where the other group has one.
+func (g *group) mayEject(now time.Time, maxEjected float64, other *group) bool {
 	left, ejected := 0, 0
 	for _, s := range g.servers {
 		if s.available(now) {
@@ -90,7 +91,7 @@
 		}
 	}
 	allowed := max(1, int(maxEjected*float64(len(g.servers))))
-	return left > 1 && ejected < allowed
+	return ejected < allowed && (left > 1 || other.search(0, now, nil) != nil)
 }
 
 func (g *group) contains(s *server) bool {
--- a/route/picker.go
+++ b/route/picker.go
@@ -198,11 +198,11 @@
 	if s.failures < p.config.Failures || now.Before(s.ejectedUntil) {
 		return
 	}
-	g := &p.remote
+	g, other := &p.remote, &p.local
 	if p.local.contains(s) {
-		g = &p.local
+		g, other = &p.local, &p.remote
 	}
-	if g.mayEject(now, p.config.MaxEjected) {
+	if g.mayEject(now, p.config.MaxEjected, other) {
 		s.eject(now, &p.config)
 	}
 }
--- a/route/picker_test.go
+++ b/route/picker_test.go
@@ -87,6 +87,12 @@
 		{name: "cold", change: func(ts []route.Target) { ts[0].Since = start }, result: always(route.Succeeded), vm: "a-vm-0", least: 0, most: 100},
 		{name: "three times the slots", change: func(ts []route.Target) { ts[0].Slots = 30 }, result: always(route.Succeeded), vm: "a-vm-0", least: 450, most: 850},
 		{name: "failing", result: bad(route.Failed), vm: "a-vm-0", least: 5, most: 5},
+		{name: "failing, the only one of its zone", change: func(ts []route.Target) {
+			for i := range ts {
+				ts[i].Zone = "b"
+			}
+			ts[0].Zone = "a"
+		}, result: bad(route.Failed), vm: "a-vm-0", least: 5, most: 5},
 		{name: "all failing: the floor holds", result: always(route.Failed), vm: "a-vm-3", least: 100, most: 500},
 		{name: "overloaded", result: bad(route.Overloaded), vm: "a-vm-0", least: 1, most: 100},
 		{name: "own zone loaded", change: func(ts []route.Target) {
