--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -17,6 +17,12 @@
 	StartShare float64
 	// MaxSojourn is the longest wait in the queue; 50 ms.
 	MaxSojourn time.Duration
+	// SojournShare bounds the wait by a part of the time that calls hold their
+	// slots, where that is more; 0.5, and none if negative.
+	SojournShare float64
+	// SlowAfter is the time of slow calls after which a limit that has been tried
+	// is tried again; a minute.
+	SlowAfter time.Duration
 	// QueueShare is the length of the queue as a part of the limit; 1.
 	QueueShare float64
 	// Margin is the rate that the admission level lets in as a part of what the
@@ -40,6 +46,12 @@
 	if c.Margin <= 0 {
 		c.Margin = DefaultMargin
 	}
+	if c.SojournShare == 0 {
+		c.SojournShare = 0.5
+	}
+	if c.SlowAfter <= 0 {
+		c.SlowAfter = time.Minute
+	}
 	if c.QueueShare <= 0 {
 		c.QueueShare = 1
 	}
@@ -54,6 +66,8 @@
 	shares   fairShare
 	levels   levels
 	inFlight int
+	// occupied counts the running and queued calls.
+	occupied request.Occupancy
 	started  []*Ticket
 	dropped  []Drop
 }
@@ -62,7 +76,7 @@
 func New(config Config) *Limiter {
 	config = config.withDefaults()
 	l := &Limiter{config: config, queue: newQueue(), shares: newFairShare(), levels: newLevels(config.Margin)}
-	l.limit.floor = 1
+	l.limit.floor, l.limit.slowAfter = 1, config.SlowAfter
 	l.Announce(config.Slots)
 	l.limit.current = l.limit.ceiling
 	if !config.Fixed {
@@ -83,8 +97,8 @@
 // InFlight returns the calls that run now.
 func (l *Limiter) InFlight() int { return l.inFlight }
 
-// Queued returns the calls that wait.
-func (l *Limiter) Queued() int { return l.queue.len() }
+// Occupancy returns the calls that run or wait, by priority.
+func (l *Limiter) Occupancy() request.Occupancy { return l.occupied }
 
 // Offer decides on a new call. Changes may drop queued tickets in its favour.
 func (l *Limiter) Offer(t *Ticket, now time.Time) (Verdict, Changes) {
@@ -98,6 +112,7 @@
 	}
 	l.shares.charge(t)
 	if l.inFlight < l.limit.value() && l.queue.len() == 0 {
+		l.occupied.Add(t.Priority, 1)
 		l.run(t, now)
 		return Verdict{Action: Run}, l.changes()
 	}
@@ -108,6 +123,7 @@
 	}
 	t.state = ticketQueued
 	l.queue.add(t)
+	l.occupied.Add(t.Priority, 1)
 	l.startQueued(now)
 	if t.state == ticketRunning {
 		l.started = l.started[:len(l.started)-1]
@@ -126,7 +142,7 @@
 		result.Own = now.Sub(t.started)
 	}
 	if !l.config.Fixed {
-		l.limit.observe(now, t.started, result)
+		l.limit.observe(now, t.started, result, l.levels.running())
 	}
 	l.free(t)
 	l.startQueued(now)
@@ -239,12 +255,14 @@
 
 func (l *Limiter) unqueue(t *Ticket) {
 	l.queue.remove(t)
+	l.occupied.Add(t.Priority, -1)
 	l.shares.refund(t)
 	t.state = ticketIdle
 }
 
 func (l *Limiter) free(t *Ticket) {
 	l.inFlight--
+	l.occupied.Add(t.Priority, -1)
 	l.levels.departed()
 	l.shares.release(t)
 	t.state = ticketIdle
@@ -261,12 +279,18 @@
 
 // expectedWait is the time that the queue needs to drain.
 func (l *Limiter) expectedWait() time.Duration {
-	return time.Duration(float64(l.queue.len()) * float64(l.limit.mean) / l.limit.current)
+	return time.Duration(float64(l.queue.len()) * float64(l.held()) / l.limit.current)
+}
+
+// held is how long a call holds its slot, with the calls that it makes.
+func (l *Limiter) held() time.Duration {
+	return max(l.limit.mean, l.levels.held())
 }
 
 // maxSojourn is the longest wait in the queue. Where calls take longer than
-// the configured bound it is half of a call's time: a shorter queue could not
-// bridge the gap between two calls that end.
+// the configured bound it follows them: a shorter queue could not bridge the
+// gap between two calls that end.
 func (l *Limiter) maxSojourn() time.Duration {
-	return max(l.config.MaxSojourn, l.limit.mean)
+	byHeld := time.Duration(l.config.SojournShare * float64(l.held()))
+	return max(l.config.MaxSojourn, l.limit.mean, byHeld)
 }
--- a/experiment/call.go
+++ b/experiment/call.go
@@ -55,7 +55,7 @@
 		return
 	}
 	c.number++
-	choice, ok := c.from.pickers[c.spec.service].PickOther(s.now, s.random, c.tried)
+	choice, ok := c.from.pickers[c.spec.service].PickOther(s.now, s.random, c.routed(), c.tried)
 	if !ok {
 		c.retryOr(notRunNoBackend)
 		return
@@ -81,6 +81,15 @@
 	})
 }
 
+// routed is the priority that the choice of servers goes by; for the lowest all
+// calls at a server count alike.
+func (c *call) routed() request.Priority {
+	if c.request.sim.policy.previous {
+		return request.Priorities - 1
+	}
+	return c.request.priority()
+}
+
 // retryOr tries the call again if the policy allows, or ends it.
 func (c *call) retryOr(o outcome) {
 	s := c.request.sim
@@ -230,12 +239,12 @@
 	if s.policy.gate && o != notRunNoBackend {
 		a.signal[a.target.service] = a.target.limiter.Level(s.now)
 	}
-	load, limit := a.target.limiter.InFlight()+a.target.limiter.Queued(), a.target.limiter.Limit()
+	load, limit := a.target.limiter.Occupancy(), a.target.limiter.Limit()
 	s.after(s.delay(a.call.from.zone, a.target.zone), func() { a.answer(o, load, limit) })
 }
 
 // answer arrives at the calling node.
-func (a *attempt) answer(o outcome, load, limit int) {
+func (a *attempt) answer(o outcome, load request.Occupancy, limit int) {
 	c := a.call
 	now, picker := c.request.sim.now, c.from.pickers[c.spec.service]
 	if c.request.sim.policy.limiter && o.cause != request.CauseNoBackend {
--- a/node/subscriptions_test.go
+++ b/node/subscriptions_test.go
@@ -65,7 +65,7 @@
 		assert.DeepEqual(t, f.asked, [][]string{{"orders"}})
 		s.Update("orders", targetsOf("orders", 3))
 		group.Wait()
-		choice, ok := s.routes.of("orders").pick(nil)
+		choice, ok := s.routes.of("orders").pick(0, nil)
 		assert.Assert(t, ok && choice.Target.Service == "orders")
 	})
 }
--- a/route/group.go
+++ b/route/group.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"auburngap/request"
 )
 
 // sampleTries bounds the random draws before a group is searched in order.
@@ -27,19 +29,19 @@
 	return g
 }
 
-// best draws two servers by their slots and returns the less utilized one, or
+// best draws two servers by their slots and returns the one less utilized for the priority, or
 // nil where no server but the avoided one is available.
-func (g *group) best(p *Picker, now time.Time, rng *rand.Rand, avoid *server) (*server, float64) {
+func (g *group) best(p *Picker, now time.Time, rng *rand.Rand, priority request.Priority, avoid *server) (*server, float64) {
 	first := g.sample(now, rng, avoid)
 	if first == nil {
 		return nil, 0
 	}
-	firstUtilization := first.utilization(now, &p.config, p.latency)
+	firstUtilization := first.utilization(now, &p.config, p.latency, priority)
 	second := g.sample(now, rng, avoid)
 	if second == first {
 		second = g.sample(now, rng, avoid)
 	}
-	secondUtilization := second.utilization(now, &p.config, p.latency)
+	secondUtilization := second.utilization(now, &p.config, p.latency, priority)
 	if secondUtilization < firstUtilization {
 		return second, secondUtilization
 	}
@@ -77,8 +79,9 @@
 	return nil
 }
 
-// mayEject tells whether the floor of servers left allows one more ejection.
-func (g *group) mayEject(now time.Time, maxEjected float64) bool {
+// mayEject tells whether the floor of servers left allows one more ejection. The
+// last one of the group may go where the other group has one.
+func (g *group) mayEject(now time.Time, maxEjected float64, other *group) bool {
 	left, ejected := 0, 0
 	for _, s := range g.servers {
 		if s.available(now) {
@@ -88,7 +91,7 @@
 		}
 	}
 	allowed := max(1, int(maxEjected*float64(len(g.servers))))
-	return left > 1 && ejected < allowed
+	return ejected < allowed && (left > 1 || other.search(0, now, nil) != nil)
 }
 
 func (g *group) contains(s *server) bool {
