--- a/share/purse.go
+++ b/share/purse.go
@@ -21,7 +21,7 @@
 	// idleTime is after how long without requests tokens go back.
 	idleTime = 150 * time.Millisecond
 	// askTimeout is how long an answer is waited for.
-	askTimeout = 100 * time.Millisecond
+	askTimeout = 300 * time.Millisecond
 	// An owner that gave no answer is left alone for a time that doubles from
 	// the first to the last.
 	firstBackoff = 250 * time.Millisecond
--- a/share/refusals_test.go
+++ b/share/refusals_test.go
@@ -55,6 +55,16 @@
 	s.gain(v, nil)
 }
 
+// late makes each message take 80 ms longer for 20 s, as between busy VMs.
+func late(s *site) {
+	for _, slow := range []time.Duration{80 * time.Millisecond, 0} {
+		time.Sleep(20 * time.Second)
+		s.mu.Lock()
+		s.slow = slow
+		s.mu.Unlock()
+	}
+}
+
 // ownerGone kills an owner for which no successor can be found.
 func ownerGone(s *site) {
 	time.Sleep(20 * time.Second)
@@ -164,6 +174,7 @@
 		{"owner gone without a successor, demand at 70%", siteConfig{zones: 4, nodes: 25, rate: 400, burst: 400, demand: 280, duration: 60 * time.Second, events: ownerGone}},
 		{"burst of 8, collector's zone cut off for 30 s", withEvents(smallBurst, cutCollector)},
 		{"burst of 8, collector gone without a successor", withEvents(smallBurst, collectorGone)},
+		{"messages 80 ms late for 20 s, demand at 70%", siteConfig{zones: 4, nodes: 25, rate: 400, burst: 400, demand: 280, duration: 60 * time.Second, events: late}},
 		{"6 times the rate", siteConfig{zones: 4, nodes: 25, rate: 100, burst: 100, demand: 600, duration: 10 * time.Second}},
 	}
 	for _, c := range cases {
--- a/share/site_test.go
+++ b/share/site_test.go
@@ -42,6 +42,8 @@
 	owners map[string]*server
 	epochs map[string]uint64
 	cut    map[string]bool
+	// slow is what each message takes beyond its usual time, as on busy VMs.
+	slow   time.Duration
 	result result
 	meter  *Meter
 	ideal  bucket
@@ -163,6 +165,7 @@
 	}
 	v.site.mu.Lock()
 	lost := zone != v.zone && (v.site.cut[zone] || v.site.cut[v.zone])
+	delay += v.site.slow
 	v.site.mu.Unlock()
 	if lost {
 		<-ctx.Done()
--- a/share/unit_test.go
+++ b/share/unit_test.go
@@ -149,3 +149,18 @@
 	assert.Assert(t, !wallet.GiveBack(testWorkspace, over, now))
 	assert.Assert(t, wallet.GiveBack(testWorkspace, lasting, now))
 }
+
+// An answer that takes 200 ms, as of a busy VM, is waited for.
+func TestSlowAnswerIsWaitedFor(t *testing.T) {
+	wallet := NewWallet(WalletConfig{Zone: "zone0"})
+	wallet.Apply(testIndex(1, 10, 8, nil))
+	now := time.Second
+	assert.Equal(t, wallet.Take(testWorkspace, now).Verdict, Wait)
+	draw := wallet.Draw(testWorkspace, 1, now)
+	now += 200 * time.Millisecond
+	later := wallet.Take(testWorkspace, now)
+	assert.Equal(t, later.Verdict, Wait)
+	assert.Assert(t, !later.Ask)
+	wallet.Answer(testWorkspace, Grant{ID: draw.ID, Loan: LoanID{1, 1}, Tokens: 1, TTL: time.Second}, now)
+	assert.Equal(t, wallet.Retake(testWorkspace, now).Verdict, Taken)
+}
