--- a/node/confirmer.go
+++ b/node/confirmer.go
@@ -10,7 +10,7 @@
 
 const (
 	// lookTimeout bounds the question to a key's home behind a refusal.
-	lookTimeout = 100 * time.Millisecond
+	lookTimeout = 300 * time.Millisecond
 	// maxLooks bounds these questions at the same time, so that a flood of
 	// refused requests stays cheap.
 	maxLooks = 16
