Let a request wait for draws as long as these bring tokens

A trace of the draws showed that every owner granted what was asked: a request gave up after eight rounds, whose tokens others had taken each time, as a draw asks for those who wait when it is sent and not for those who come meanwhile.

Ruled out: late answers (no draw failed), owners without their predecessor's state (all shards were handed over), 200 ms for draws between zones.

--- a/share/client.go
+++ b/share/client.go
@@ -12,11 +12,6 @@
 // reportInterval is how soon owners are told of spends.
 const reportInterval = 5 * time.Millisecond
 
-// mostRounds is how many draws one request waits for. While owners grant what
-// those who wait need, newcomers may take it before them; an owner that has
-// nothing ends the wait sooner.
-const mostRounds = 8
-
 // ClientConfig configures a Client.
 type ClientConfig struct {
 	// Zone is the node's availability zone.
@@ -70,7 +65,7 @@
 }
 
 // Take spends a token for one request of a workspace. Where the node has
-// none, it waits for one answer of the owner, no longer than the context
+// none, it waits for answers of owners that have some, no longer than the context
 // allows. A refusal's request has not run.
 func (c *Client) Take(ctx context.Context, workspace string) (Ticket, *request.Refusal) {
 	c.mu.Lock()
@@ -79,7 +74,9 @@
 		return Ticket{}, refuse(0)
 	}
 	decision := c.wallet.Take(workspace, c.config.Clock())
-	for i := 0; i < mostRounds && decision.Verdict == Wait; i++ {
+	// While owners grant what those who wait need, newcomers may take it before
+	// them; an owner that has nothing ends the wait.
+	for decision.Verdict == Wait {
 		if !c.await(ctx, workspace) {
 			return Ticket{}, refuse(0)
 		}
--- a/share/unit_test.go
+++ b/share/unit_test.go
@@ -1,10 +1,16 @@
 package share
 
 import (
+	"context"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"auburngap/peer/peerpb"
 )
 
 func TestMeterFindsTheWorstWindow(t *testing.T) {
@@ -164,3 +170,40 @@
 	wallet.Answer(testWorkspace, Grant{ID: draw.ID, Loan: LoanID{1, 1}, Tokens: 1, TTL: time.Second}, now)
 	assert.Equal(t, wallet.Retake(testWorkspace, now).Verdict, Taken)
 }
+
+// needPeers grants each draw just what it needs, after a while.
+type needPeers struct{ loans atomic.Uint64 }
+
+// Draw implements Peers.
+func (n *needPeers) Draw(_ context.Context, message *peerpb.Draw) (*peerpb.DrawAnswer, error) {
+	draw := drawFromProto(message)
+	time.Sleep(10 * time.Millisecond)
+	return grantToProto(Grant{ID: draw.ID, Loan: LoanID{1, n.loans.Add(1)}, Tokens: draw.Need, TTL: time.Second}), nil
+}
+
+// Requests that come while a draw is under way wait for as many more as it
+// takes, as long as these bring tokens.
+func TestWaitingRequestsAreServedWhileTokensCome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		client := NewClient(ClientConfig{
+			Zone: "zone0", Peers: &needPeers{}, Clock: func() time.Duration { return time.Since(start) },
+		})
+		client.Apply(testIndex(1, 1000, 1000, nil))
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		var group sync.WaitGroup
+		var refused atomic.Int64
+		for range 5000 {
+			time.Sleep(500 * time.Microsecond)
+			group.Go(func() {
+				if _, refusal := client.Take(ctx, testWorkspace); refusal != nil {
+					refused.Add(1)
+				}
+			})
+		}
+		group.Wait()
+		assert.Equal(t, refused.Load(), int64(0))
+		time.Sleep(time.Minute)
+	})
+}
