Read what is kept of an answer in one place, and name an ended context by causeOf

node/dispatcher.go had two identical branches for a body that breaks off and an answer that cannot be encoded; node/subscriptions.go told deadline from cancellation as causeOf does.

--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -66,12 +66,7 @@
 
 // keep records an answer and returns it to be passed on.
 func (d *dispatcher) keep(permission commitment.Permission, answer *request.Answer) (*request.Answer, error) {
-	body, whole, err := readKept(answer.Body)
-	if err != nil {
-		d.record(permission, request.Unknown, nil)
-		return nil, errors.Join(request.Refuse(request.CauseBackendFailed, request.Unknown, 0), answer.Body.Close())
-	}
-	kept, err := encodeAnswer(answer, body, whole)
+	body, kept, err := readKept(answer)
 	if err != nil {
 		d.record(permission, request.Unknown, nil)
 		return nil, errors.Join(request.Refuse(request.CauseBackendFailed, request.Unknown, 0), answer.Body.Close())
@@ -94,19 +89,19 @@
 	}
 }
 
-// readKept reads what is kept of a body, and tells whether that is all of it.
-func readKept(body io.Reader) ([]byte, bool, error) {
-	data, err := io.ReadAll(io.LimitReader(body, keptBodyBytes+1))
-	return data, len(data) <= keptBodyBytes, err
-}
-
-// encodeAnswer returns an answer as the owner keeps it: one that is not whole
-// is made too long to be kept, so that a repeat learns that it ran.
-func encodeAnswer(answer *request.Answer, body []byte, whole bool) ([]byte, error) {
-	if !whole {
-		return make([]byte, maxKeptBytes+1), nil
+// readKept reads the beginning of an answer's body, and returns the answer as
+// the owner keeps it: one whose body is longer is made too long to be kept, so
+// that a repeat learns that it ran.
+func readKept(answer *request.Answer) (body, kept []byte, err error) {
+	body, err = io.ReadAll(io.LimitReader(answer.Body, keptBodyBytes+1))
+	if err != nil {
+		return nil, nil, err
+	}
+	if len(body) > keptBodyBytes {
+		return body, make([]byte, maxKeptBytes+1), nil
 	}
-	return proto.Marshal(&peerpb.StoredAnswer{Answer: peer.AnswerToMessage(answer), Body: body})
+	kept, err = proto.Marshal(&peerpb.StoredAnswer{Answer: peer.AnswerToMessage(answer), Body: body})
+	return body, kept, err
 }
 
 // prefixed is a body whose beginning has been read already.
--- a/node/subscriptions.go
+++ b/node/subscriptions.go
@@ -63,12 +63,8 @@
 	case <-subscribed.listed:
 		return nil
 	case <-ctx.Done():
+		return request.RefuseUnsent(call, causeOf(ctx), 0)
 	}
-	cause := request.CauseDeadline
-	if ctx.Err() == context.Canceled {
-		cause = request.CauseCancelled
-	}
-	return request.RefuseUnsent(call, cause, 0)
 }
 
 // use notes a request to a service and follows it from now on. It returns true
