Call idle connections idle

The poller's names spoke of connections that rest and are tired. Names and comments alone change; go test -race ./httpconn ./caller is green.

--- a/httpconn/conn.go
+++ b/httpconn/conn.go
@@ -47,8 +47,8 @@
 	ahead    byte
 	hasAhead bool
 
-	// resting takes the connection between two requests; it may be nil.
-	resting *restingConns
+	// idle takes the connection between two requests; it may be nil.
+	idle *idleConns
 	// between is true until the first byte of a request was read.
 	between bool
 	state   atomic.Int32
@@ -58,10 +58,10 @@
 const (
 	// connOpen is one that its server uses.
 	connOpen = iota
-	// connTired is one that rests as soon as its server closes it.
-	connTired
-	// connLeft is one that belongs to its server no more.
-	connLeft
+	// connIdle goes to the poller as soon as its server closes it.
+	connIdle
+	// connDetached is one that belongs to its server no more.
+	connDetached
 )
 
 // New wraps a connection.
@@ -144,7 +144,7 @@
 		return 1, nil
 	}
 	c.mu.Unlock()
-	if c.between && c.resting != nil {
+	if c.between && c.idle != nil {
 		return c.readFirst(p)
 	}
 	return c.Conn.Read(p)
@@ -153,12 +153,12 @@
 // readFirst reads the first bytes of a request. Where none come soon it ends
 // the connection for its server, which then closes it.
 func (c *Conn) readFirst(p []byte) (int, error) {
-	if err := c.Conn.SetReadDeadline(time.Now().Add(c.resting.after)); err != nil {
+	if err := c.Conn.SetReadDeadline(time.Now().Add(c.idle.after)); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
-		c.state.CompareAndSwap(connOpen, connTired)
+		c.state.CompareAndSwap(connOpen, connIdle)
 		return 0, io.EOF
 	}
 	c.between = false
@@ -171,11 +171,11 @@
 // Close implements net.Conn. A connection on which no request came is kept
 // open until one comes.
 func (c *Conn) Close() error {
-	if c.state.CompareAndSwap(connTired, connLeft) {
-		c.resting.add(c.Conn)
+	if c.state.CompareAndSwap(connIdle, connDetached) {
+		c.idle.add(c.Conn)
 		return nil
 	}
-	if c.state.Load() == connLeft {
+	if c.state.Load() == connDetached {
 		return nil
 	}
 	return c.Conn.Close()
--- a/httpconn/resting.go
+++ b/httpconn/idle.go
@@ -10,17 +10,17 @@
 )
 
 const (
-	// restAfter is how long a connection is idle before it rests.
-	restAfter = time.Second
+	// idleAfter is how long a connection is idle before it goes to the poller.
+	idleAfter = time.Second
 	// sweeps is how often in an idle timeout its end is looked for.
 	sweeps = 8
 	// mostEvents is how many connections one system call finds readable.
 	mostEvents = 64
 )
 
-// restingConns holds idle connections and waits for all of them in one
+// idleConns holds idle connections and waits for all of them in one
 // goroutine, through a poller of their own that the runtime's polls in turn.
-type restingConns struct {
+type idleConns struct {
 	after   time.Duration
 	timeout time.Duration
 	// wake takes a connection that has become readable or was closed by the caller.
@@ -29,16 +29,16 @@
 	raw    syscall.RawConn
 
 	mu     sync.Mutex
-	conns  map[int32]restingConn
+	conns  map[int32]idleConn
 	closed bool
 }
 
-type restingConn struct {
+type idleConn struct {
 	net.Conn
 	since time.Time
 }
 
-func newRestingConns(after, timeout time.Duration, wake func(net.Conn)) (*restingConns, error) {
+func newIdleConns(after, timeout time.Duration, wake func(net.Conn)) (*idleConns, error) {
 	fd, err := syscall.EpollCreate1(syscall.EPOLL_CLOEXEC)
 	if err != nil {
 		return nil, os.NewSyscallError("epoll_create1", err)
@@ -47,12 +47,12 @@
 	if err := syscall.SetNonblock(fd, true); err != nil {
 		return nil, errors.Join(os.NewSyscallError("fcntl", err), syscall.Close(fd))
 	}
-	r := &restingConns{
+	r := &idleConns{
 		after:   after,
 		timeout: timeout,
 		wake:    wake,
-		poller:  os.NewFile(uintptr(fd), "resting connections"),
-		conns:   make(map[int32]restingConn),
+		poller:  os.NewFile(uintptr(fd), "idle connections"),
+		conns:   make(map[int32]idleConn),
 	}
 	raw, err := r.poller.SyscallConn()
 	if err != nil {
@@ -63,8 +63,8 @@
 	return r, nil
 }
 
-// add lets a connection rest; where that cannot be it is closed.
-func (r *restingConns) add(conn net.Conn) {
+// add hands a connection to the poller; where that cannot be it is closed.
+func (r *idleConns) add(conn net.Conn) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.closed || conn.SetReadDeadline(time.Time{}) != nil || r.register(conn) != nil {
@@ -72,19 +72,19 @@
 	}
 }
 
-func (r *restingConns) register(conn net.Conn) error {
+func (r *idleConns) register(conn net.Conn) error {
 	return control(conn, func(fd int) error {
 		// What came before the registration is found, too.
 		event := syscall.EpollEvent{Events: syscall.EPOLLIN | syscall.EPOLLRDHUP | syscall.EPOLLONESHOT, Fd: int32(fd)}
 		if err := r.pollerControl(syscall.EPOLL_CTL_ADD, fd, &event); err != nil {
 			return err
 		}
-		r.conns[int32(fd)] = restingConn{Conn: conn, since: time.Now()}
+		r.conns[int32(fd)] = idleConn{Conn: conn, since: time.Now()}
 		return nil
 	})
 }
 
-func (r *restingConns) pollerControl(operation, fd int, event *syscall.EpollEvent) error {
+func (r *idleConns) pollerControl(operation, fd int, event *syscall.EpollEvent) error {
 	var result error
 	err := r.raw.Control(func(poller uintptr) {
 		result = syscall.EpollCtl(int(poller), operation, fd, event)
@@ -111,7 +111,7 @@
 }
 
 // run wakes connections until close.
-func (r *restingConns) run() {
+func (r *idleConns) run() {
 	var events [mostEvents]syscall.EpollEvent
 	for {
 		count, err := r.wait(events[:])
@@ -131,8 +131,8 @@
 }
 
 // wait returns once connections are readable, or it is time to look for those
-// that have rested for too long.
-func (r *restingConns) wait(events []syscall.EpollEvent) (int, error) {
+// that have been idle for too long.
+func (r *idleConns) wait(events []syscall.EpollEvent) (int, error) {
 	if r.timeout > 0 {
 		if err := r.poller.SetReadDeadline(time.Now().Add(r.timeout / sweeps)); err != nil {
 			return 0, err
@@ -150,8 +150,8 @@
 	return max(count, 0), errors.Join(err, failed)
 }
 
-// take ends a connection's rest; nil where it has ended already.
-func (r *restingConns) take(fd int32) net.Conn {
+// take removes a connection from the poller; nil where it has left already.
+func (r *idleConns) take(fd int32) net.Conn {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	conn, ok := r.conns[fd]
@@ -167,7 +167,7 @@
 }
 
 // expire closes the connections that have been idle for too long.
-func (r *restingConns) expire(now time.Time) {
+func (r *idleConns) expire(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for fd, conn := range r.conns {
@@ -179,15 +179,15 @@
 	}
 }
 
-// count returns how many connections rest.
-func (r *restingConns) count() int {
+// count returns how many connections the poller holds.
+func (r *idleConns) count() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return len(r.conns)
 }
 
 // close closes all connections, also those still to come.
-func (r *restingConns) close() {
+func (r *idleConns) close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.closed = true
--- a/httpconn/resting_test.go
+++ b/httpconn/idle_test.go
@@ -13,7 +13,7 @@
 	"gotest.tools/v3/poll"
 )
 
-// many is a server whose idle connections rest.
+// many is a server whose idle connections are polled.
 type many struct {
 	listener *manyListener
 	server   *fasthttp.Server
@@ -38,15 +38,15 @@
 	return &many{listener: listener, server: server}
 }
 
-// waitForResting waits until as many connections rest and none is served.
-func (m *many) waitForResting(t *testing.T, count int) {
+// waitForIdle waits until as many connections are polled and none is served.
+func (m *many) waitForIdle(t *testing.T, count int) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		resting, open := m.listener.resting.count(), m.server.GetOpenConnectionsCount()
-		if resting == count && open == 0 {
+		idle, open := m.listener.idle.count(), m.server.GetOpenConnectionsCount()
+		if idle == count && open == 0 {
 			return poll.Success()
 		}
-		return poll.Continue("%d connections rest, %d are served", resting, open)
+		return poll.Continue("%d connections are polled, %d are served", idle, open)
 	}, poll.WithTimeout(10*time.Second))
 }
 
@@ -77,9 +77,9 @@
 	assert.Equal(t, string(response.Body()), path)
 }
 
-// TestRestingConnections serves requests on connections that rest in between,
-// and on one that has rested before its first.
-func TestRestingConnections(t *testing.T) {
+// TestIdleConnections serves requests on connections that are idle in between,
+// and on one that was idle before its first.
+func TestIdleConnections(t *testing.T) {
 	m := newMany(t, 0)
 	const connections = 200
 	var clients []client
@@ -87,19 +87,19 @@
 		clients = append(clients, m.dial(t))
 	}
 	for range 3 {
-		m.waitForResting(t, connections)
+		m.waitForIdle(t, connections)
 		for i, c := range clients {
 			c.ask(t, "/"+string(rune('a'+i%26)))
 		}
 	}
-	m.waitForResting(t, connections)
+	m.waitForIdle(t, connections)
 	for _, c := range clients {
 		assert.NilError(t, c.Close())
 	}
-	m.waitForResting(t, 0)
+	m.waitForIdle(t, 0)
 }
 
-func TestRestingConnectionsEnd(t *testing.T) {
+func TestIdleConnectionsEnd(t *testing.T) {
 	cases := []struct {
 		name        string
 		idleTimeout time.Duration
@@ -107,7 +107,7 @@
 	}{
 		{"with their idle timeout", 100 * time.Millisecond, func(*testing.T, *many) {}},
 		{"with their server", time.Hour, func(t *testing.T, m *many) {
-			m.waitForResting(t, 1)
+			m.waitForIdle(t, 1)
 			assert.NilError(t, m.server.Shutdown())
 		}},
 	}
@@ -119,7 +119,7 @@
 			c.end(t, m)
 			_, err := caller.reader.ReadByte()
 			assert.ErrorIs(t, err, io.EOF)
-			assert.Equal(t, m.listener.resting.count(), 0)
+			assert.Equal(t, m.listener.idle.count(), 0)
 		})
 	}
 }
--- a/httpconn/listener.go
+++ b/httpconn/listener.go
@@ -29,7 +29,7 @@
 // and are accepted again with their next request. They are closed after
 // idleTimeout, if it is not zero. The server must be one of NewServer.
 func ListenMany(listener net.Listener, idleTimeout time.Duration) (net.Listener, error) {
-	return listenMany(listener, idleTimeout, restAfter)
+	return listenMany(listener, idleTimeout, idleAfter)
 }
 
 func listenMany(listener net.Listener, idleTimeout, after time.Duration) (*manyListener, error) {
@@ -37,11 +37,11 @@
 		after = min(after, idleTimeout)
 	}
 	l := &manyListener{Listener: listener, accepted: make(chan accepted), done: make(chan struct{})}
-	resting, err := newRestingConns(after, idleTimeout, l.wake)
+	idle, err := newIdleConns(after, idleTimeout, l.wake)
 	if err != nil {
 		return nil, err
 	}
-	l.resting = resting
+	l.idle = idle
 	go l.accept()
 	return l, nil
 }
@@ -54,7 +54,7 @@
 
 type manyListener struct {
 	net.Listener
-	resting  *restingConns
+	idle     *idleConns
 	accepted chan accepted
 	done     chan struct{}
 	once     sync.Once
@@ -77,17 +77,17 @@
 		return nil
 	}
 	c := New(conn)
-	c.resting = l.resting
+	c.idle = l.idle
 	// A handshake that was broken off cannot be taken up again.
 	_, secured := conn.(interface{ NetConn() net.Conn })
 	c.between = !secured
 	return c
 }
 
-// wake hands a connection that has rested to the server again.
+// wake hands a connection that was idle to the server again.
 func (l *manyListener) wake(conn net.Conn) {
 	c := New(conn)
-	c.resting = l.resting
+	c.idle = l.idle
 	c.between = true
 	l.hand(c, nil)
 }
@@ -116,12 +116,12 @@
 	}
 }
 
-// Close implements net.Listener: it closes the connections that rest, too.
+// Close implements net.Listener: it closes the idle connections, too.
 func (l *manyListener) Close() error {
 	err := net.ErrClosed
 	l.once.Do(func() {
 		close(l.done)
-		l.resting.close()
+		l.idle.close()
 		err = l.Listener.Close()
 	})
 	return err
