Draw the report's page in a package of its own, and give a hosted node's report

Cause: nodes count requests in package report, which drew the HTML page as well and so brought the plot and font libraries into a node's program: 21.4 MB, of which 15.4 MB are resident beside 8 to 25 MB of its own memory (budget 32 MB). A hosted node's counts could be read by nobody.

Change: package page draws; report counts and adds up.

--- a/node/hosted.go
+++ b/node/hosted.go
@@ -192,6 +192,9 @@
 // Metrics returns the node's metrics.
 func (h *Hosted) Metrics() *metrics.Metrics { return h.metrics }
 
+// Report returns what became of the requests of this node's callers.
+func (h *Hosted) Report(now time.Time) report.Snapshot { return h.recorder.Snapshot(now) }
+
 // Index returns the configuration in force; nil before the first.
 func (h *Hosted) Index() *bundle.Index { return h.index.Load() }
 
--- a/node/hosted_wire.go
+++ b/node/hosted_wire.go
@@ -37,6 +37,9 @@
 	chainedRepeats = 3
 	// leafRepeats is the part of the bound for requests that make no further calls.
 	leafRepeats = 0.9
+	// hostedSeries bounds the series of a report, which take up to 60 KB each in the
+	// ten minutes that it covers.
+	hostedSeries = 64
 	// restartPart is the part of its burst that a node has after a restart, as it
 	// does not know what it has spent.
 	restartPart = 0.25
@@ -72,7 +75,7 @@
 	h.counters = newCounters(h.metrics.Scope)
 	h.config.Loggers = c.Loggers.Counted(h.counters.event)
 	h.logger = h.config.Loggers.Main
-	h.recorder = report.NewRecorder(report.Config{VM: c.VM, Zone: c.Zone})
+	h.recorder = report.NewRecorder(report.Config{VM: c.VM, Zone: c.Zone, MaxSeries: hostedSeries})
 	h.announced = newAnnouncements(hostedAnnouncementTTL)
 	h.pool = peer.NewPool(peer.PoolConfig{Self: h.identity, Logger: h.logger, Timing: hostedTiming})
 	h.routes = newRoutes(c.VM, c.Zone)
--- a/operator/report.go
+++ b/operator/report.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"auburngap/page"
 	"auburngap/report"
 )
 
@@ -60,7 +61,7 @@
 	case formatText:
 		return summary.WriteText(out)
 	case formatHTML:
-		return summary.WriteHTML(out)
+		return page.Write(out, summary)
 	case formatJSON:
 		encoder := json.NewEncoder(out)
 		encoder.SetIndent("", "  ")
--- a/report/chart.go
+++ b/page/chart.go
@@ -1,4 +1,4 @@
-package report
+package page
 
 import (
 	"bytes"
--- a/report/charts.go
+++ b/page/charts.go
@@ -1,74 +1,25 @@
-package report
+package page
 
 import (
 	"fmt"
 	"image/color"
 	"math"
 	"slices"
-	"time"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 
+	"auburngap/report"
 	"auburngap/request"
 )
 
 // burnAlarm is the burn from which a bar is drawn in the colour of alarm.
 const burnAlarm = 1
 
-// timeline is the site's slots in the window, without gaps.
-type timeline struct {
-	starts []time.Time
-	length time.Duration
-}
-
-func (s Summary) timeline() timeline {
-	length := s.snapshot.SlotLength()
-	line := timeline{length: length}
-	var first, last time.Time
-	for _, series := range s.snapshot.Series {
-		for _, slot := range series.Slots {
-			if slot.Start.Before(s.From) {
-				continue
-			}
-			if first.IsZero() || slot.Start.Before(first) {
-				first = slot.Start
-			}
-			if slot.Start.After(last) {
-				last = slot.Start
-			}
-		}
-	}
-	for at := first; length > 0 && !first.IsZero() && !at.After(last); at = at.Add(length) {
-		line.starts = append(line.starts, at)
-	}
-	return line
-}
-
-// collect adds a count of each slot, as a rate per second, to its layer.
-func (s Summary) collect(line timeline, add func(series Series, slot Slot, put func(layer string, count uint64))) map[string][]float64 {
-	layers := make(map[string][]float64)
-	for _, series := range s.snapshot.Series {
-		for _, slot := range series.Slots {
-			at := slices.IndexFunc(line.starts, slot.Start.Equal)
-			if at < 0 {
-				continue
-			}
-			add(series, slot, func(layer string, count uint64) {
-				if layers[layer] == nil {
-					layers[layer] = make([]float64, len(line.starts))
-				}
-				layers[layer][at] += float64(count) / line.length.Seconds()
-			})
-		}
-	}
-	return layers
-}
-
-func (s Summary) goodputChart() *plot.Plot {
-	line := s.timeline()
-	byPriority := s.collect(line, func(series Series, slot Slot, put func(string, uint64)) {
+func goodputChart(s report.Summary) *plot.Plot {
+	line := s.Timeline()
+	byPriority := s.Rates(line, func(series report.Series, slot report.Slot, put func(string, uint64)) {
 		put(priorityName(series.Priority), slot.Good)
 	})
 	var layers []layer
@@ -78,7 +29,7 @@
 			layers = append(layers, layer{name, values, palette[int(priority)%len(palette)]})
 		}
 	}
-	return stack("Goodput by priority", "good requests/s", line.starts, line.length, layers)
+	return stack("Goodput by priority", "good requests/s", line.Starts, line.Length, layers)
 }
 
 func priorityName(priority request.Priority) string {
@@ -88,10 +39,10 @@
 // mostCauses is how many causes the chart tells apart.
 const mostCauses = 4
 
-func (s Summary) causesChart() *plot.Plot {
-	line := s.timeline()
+func causesChart(s report.Summary) *plot.Plot {
+	line := s.Timeline()
 	total := make(map[string]uint64)
-	for _, row := range s.Group(GroupAll) {
+	for _, row := range s.Group(report.GroupAll) {
 		total = row.Causes
 	}
 	names := make([]string, 0, len(total))
@@ -100,7 +51,7 @@
 	}
 	slices.SortFunc(names, func(a, b string) int { return int(total[b]) - int(total[a]) })
 	main := names[:min(mostCauses, len(names))]
-	byCause := s.collect(line, func(_ Series, slot Slot, put func(string, uint64)) {
+	byCause := s.Rates(line, func(_ report.Series, slot report.Slot, put func(string, uint64)) {
 		for cause, count := range slot.Causes {
 			if !slices.Contains(main, cause) {
 				cause = "other causes"
@@ -114,21 +65,21 @@
 			layers = append(layers, layer{name, values, warmPalette[i%len(warmPalette)]})
 		}
 	}
-	return stack("Refusals and failures by cause", "requests/s", line.starts, line.length, layers)
+	return stack("Refusals and failures by cause", "requests/s", line.Starts, line.Length, layers)
 }
 
-func (s Summary) burnChart(group, title string) (*plot.Plot, int, error) {
+func burnChart(s report.Summary, group, title string) (*plot.Plot, int, error) {
 	var list []bar
 	for _, row := range s.Group(group) {
 		shade := color.Color(calm)
 		if row.Burn >= burnAlarm {
 			shade = alarm
 		}
-		label := fmt.Sprintf("%.2f  (%s good of %d)", row.Burn, percent(row.GoodShare), row.Requests)
+		label := fmt.Sprintf("%.2f  (%s good of %d)", row.Burn, report.Percent(row.GoodShare), row.Requests)
 		// The line of the objective crosses no label.
 		list = append(list, bar{name: row.Name, value: row.Burn, label: label, color: shade, labelFrom: burnAlarm})
 	}
-	title += " over " + windowName(s.Windows[len(s.Windows)-1])
+	title += " over " + report.WindowName(s.Windows[len(s.Windows)-1])
 	chart, err := bars(title, "burn: failures over failures allowed; 1 just meets the objective", list)
 	if err != nil {
 		return nil, 0, err
@@ -154,12 +105,12 @@
 	return nil
 }
 
-func (s Summary) latencyChart() (*plot.Plot, int, error) {
+func latencyChart(s report.Summary) (*plot.Plot, int, error) {
 	var list []bar
-	for _, row := range s.Group(GroupService) {
+	for _, row := range s.Group(report.GroupService) {
 		list = append(list,
-			bar{name: row.Name + " p50", value: float64(row.P50Micros) / 1000, label: millis(row.P50Micros), color: palette[2]},
-			bar{name: row.Name + " p99", value: float64(row.P99Micros) / 1000, label: millis(row.P99Micros), color: palette[0]})
+			bar{name: row.Name + " p50", value: float64(row.P50Micros) / 1000, label: report.Millis(row.P50Micros), color: palette[2]},
+			bar{name: row.Name + " p99", value: float64(row.P99Micros) / 1000, label: report.Millis(row.P99Micros), color: palette[0]})
 	}
 	chart, err := bars("Latency of good requests by service", "milliseconds", list)
 	return chart, len(list), err
--- a/report/page.go
+++ b/page/page.go
@@ -1,4 +1,10 @@
-package report
+// Package page draws the report of a site as one HTML page, with its charts.
+//
+// # Usage
+//
+//	summary := merged.Summarize(report.DefaultWindows(), report.DefaultObjectives())
+//	err := page.Write(out, summary)
+package page
 
 import (
 	_ "embed"
@@ -9,6 +15,8 @@
 	"time"
 
 	"gonum.org/v1/plot"
+
+	"auburngap/report"
 )
 
 //go:embed page.html
@@ -16,8 +24,8 @@
 
 var pageTemplate = template.Must(template.New("page").Parse(pageSource))
 
-// page is what the template shows.
-type page struct {
+// content is what the template shows.
+type content struct {
 	Title  string
 	Period string
 	Cards  []card
@@ -45,41 +53,41 @@
 }
 
 type tableRow struct {
-	Row
+	report.Row
 	Share, P50, P99, Causes string
 	Burns                   []cell
 }
 
-// WriteHTML writes the summary as one page that needs nothing else.
-func (s Summary) WriteHTML(out io.Writer) error {
-	charts, err := s.charts()
+// Write writes a summary as one page that needs nothing else.
+func Write(out io.Writer, s report.Summary) error {
+	charts, err := drawAll(s)
 	if err != nil {
 		return err
 	}
-	return pageTemplate.Execute(out, page{
+	return pageTemplate.Execute(out, content{
 		Title:  "Service-level burn: " + strings.Join(s.Zones, ", "),
 		Period: fmt.Sprintf("%s to %s UTC, %d VMs", s.From.UTC().Format(time.DateTime), s.To.UTC().Format(time.TimeOnly), len(s.VMs)),
-		Cards:  s.cards(),
+		Cards:  cards(s),
 		Charts: charts,
-		Tables: s.tables(),
+		Tables: tables(s),
 	})
 }
 
-func (s Summary) cards() []card {
+func cards(s report.Summary) []card {
 	var cards []card
-	for _, row := range s.Group(GroupAll) {
+	for _, row := range s.Group(report.GroupAll) {
 		cards = append(cards,
 			card{"Goodput", fmt.Sprintf("%.0f/s", row.GoodPerSecond), fmt.Sprintf("%d good requests", row.Good), false},
-			card{"Good", percent(row.GoodShare), fmt.Sprintf("of %d requests", row.Requests), row.Burn >= burnAlarm},
+			card{"Good", report.Percent(row.GoodShare), fmt.Sprintf("of %d requests", row.Requests), row.Burn >= burnAlarm},
 			card{"Burn", fmt.Sprintf("%.2f", row.Burn), "1 just meets the objectives", row.Burn >= burnAlarm},
 			card{"Refused within rate", fmt.Sprint(row.Wrongful), "should be none", row.Wrongful > 0},
-			card{"p99", millis(row.P99Micros), "median " + millis(row.P50Micros), false},
+			card{"p99", report.Millis(row.P99Micros), "median " + report.Millis(row.P50Micros), false},
 		)
 	}
 	return cards
 }
 
-func (s Summary) charts() ([]template.HTML, error) {
+func drawAll(s report.Summary) ([]template.HTML, error) {
 	var charts []template.HTML
 	add := func(p *plot.Plot, lines int, err error) error {
 		if err != nil {
@@ -97,33 +105,33 @@
 		charts = append(charts, template.HTML(drawn))
 		return nil
 	}
-	if err := add(s.goodputChart(), 0, nil); err != nil {
+	if err := add(goodputChart(s), 0, nil); err != nil {
 		return nil, err
 	}
-	if err := add(s.causesChart(), 0, nil); err != nil {
+	if err := add(causesChart(s), 0, nil); err != nil {
 		return nil, err
 	}
-	if err := add(s.burnChart(GroupWorkspace, "Burn by workspace")); err != nil {
+	if err := add(burnChart(s, report.GroupWorkspace, "Burn by workspace")); err != nil {
 		return nil, err
 	}
-	if err := add(s.burnChart(GroupPriority, "Burn by priority")); err != nil {
+	if err := add(burnChart(s, report.GroupPriority, "Burn by priority")); err != nil {
 		return nil, err
 	}
-	return charts, add(s.latencyChart())
+	return charts, add(latencyChart(s))
 }
 
-func (s Summary) tables() []table {
+func tables(s report.Summary) []table {
 	var tables []table
-	for _, group := range groups[1:] {
+	for _, group := range report.Groups[1:] {
 		t := table{Heading: strings.ToUpper(group[:1]) + group[1:]}
 		for _, window := range s.Windows {
-			t.Windows = append(t.Windows, windowName(window))
+			t.Windows = append(t.Windows, report.WindowName(window))
 		}
 		for _, row := range s.Group(group) {
 			t.Rows = append(t.Rows, tableRow{
-				Row: row, Share: percent(row.GoodShare),
-				P50: millis(row.P50Micros), P99: millis(row.P99Micros),
-				Causes: row.causeList(), Burns: row.burnCells(s.Windows),
+				Row: row, Share: report.Percent(row.GoodShare),
+				P50: report.Millis(row.P50Micros), P99: report.Millis(row.P99Micros),
+				Causes: row.CauseList(), Burns: burnCells(row, s.Windows),
 			})
 		}
 		tables = append(tables, t)
@@ -131,10 +139,10 @@
 	return tables
 }
 
-func (r Row) burnCells(windows []time.Duration) []cell {
+func burnCells(r report.Row, windows []time.Duration) []cell {
 	var cells []cell
 	for _, window := range windows {
-		burn := r.Burns[windowName(window)]
+		burn := r.Burns[report.WindowName(window)]
 		cells = append(cells, cell{Text: fmt.Sprintf("%.2f", burn), Alarm: burn >= burnAlarm})
 	}
 	return cells
--- a/report/report.go
+++ b/report/report.go
@@ -11,6 +11,9 @@
 //	summary := merged.Summarize(report.DefaultWindows(), report.DefaultObjectives())
 //	err := summary.WriteText(os.Stdout)
 //
+// Package page draws a summary. It is a package of its own as nodes, which import
+// this one, are not to hold the fonts and drawing libraries in memory.
+//
 // Burn is the share of failed requests over the share that the objective
 // allows: at 1 the objective is just met, at 10 the allowance of a month is
 // used up in three days.
--- a/report/summary.go
+++ b/report/summary.go
@@ -17,8 +17,8 @@
 	GroupPriority  = "priority"
 )
 
-// groups is the order in which reports show them.
-var groups = []string{GroupAll, GroupService, GroupWorkspace, GroupPriority}
+// Groups is the order in which reports show them.
+var Groups = []string{GroupAll, GroupService, GroupWorkspace, GroupPriority}
 
 // Summary is the state of a site over a window of time.
 type Summary struct {
@@ -95,7 +95,7 @@
 			if slot.Start.Before(summary.From) {
 				continue
 			}
-			for i, group := range groups {
+			for i, group := range Groups {
 				row := rowOf(rows, group, names[i])
 				row.add(slot)
 				row.spend(slot, s.Taken.Sub(slot.Start), windows, 1-objectives[series.Priority])
@@ -121,7 +121,7 @@
 
 func compareRows(a, b Row) int {
 	if a.Group != b.Group {
-		return slices.Index(groups, a.Group) - slices.Index(groups, b.Group)
+		return slices.Index(Groups, a.Group) - slices.Index(Groups, b.Group)
 	}
 	return strings.Compare(a.Name, b.Name)
 }
@@ -165,11 +165,11 @@
 
 // covered is the part of the longest window since the first request.
 func (s Summary) covered(longest time.Duration) time.Duration {
-	line := s.timeline()
-	if len(line.starts) == 0 {
+	line := s.Timeline()
+	if len(line.Starts) == 0 {
 		return longest
 	}
-	return min(longest, max(line.length, s.To.Sub(line.starts[0])))
+	return min(longest, max(line.Length, s.To.Sub(line.Starts[0])))
 }
 
 func (r *Row) finish(windows []time.Duration, covered time.Duration) {
@@ -181,15 +181,15 @@
 	r.Burns = make(map[string]float64)
 	for i, window := range windows {
 		r.Burn = r.budgets[i].burn()
-		r.Burns[windowName(window)] = r.Burn
+		r.Burns[WindowName(window)] = r.Burn
 	}
 	r.P50Micros = quantile(r.histogram, 50).Microseconds()
 	r.P99Micros = quantile(r.histogram, 99).Microseconds()
 	r.MaxMicros = r.histogram.Max()
 }
 
-// windowName is such as "5m" or "1h30m".
-func windowName(window time.Duration) string {
+// WindowName is such as "5m" or "1h30m".
+func WindowName(window time.Duration) string {
 	name := window.String()
 	for _, zero := range []string{"m0s", "h0m"} {
 		if strings.HasSuffix(name, zero) {
--- a/report/text.go
+++ b/report/text.go
@@ -23,7 +23,7 @@
 	// The table keeps what goes wrong until Flush.
 	_, _ = fmt.Fprintf(table, "%s to %s UTC, %d VMs in %s\n",
 		s.From.UTC().Format(time.DateTime), s.To.UTC().Format(time.TimeOnly), len(s.VMs), strings.Join(s.Zones, ", "))
-	for _, group := range groups {
+	for _, group := range Groups {
 		_, _ = fmt.Fprintf(table, "\n%s\tREQUESTS\tGOOD/S\tGOOD%s\tP50\tP99\tMAX\tWRONGFUL\tREJECTED\tCAUSES\n", headings[group], s.burnHeadings())
 		for _, row := range s.Group(group) {
 			_, _ = fmt.Fprintln(table, row.columns(s.Windows))
@@ -34,16 +34,16 @@
 
 func (r Row) columns(windows []time.Duration) string {
 	return fmt.Sprintf("%s\t%d\t%.1f\t%s%s\t%s\t%s\t%s\t%d\t%d\t%s",
-		r.Name, r.Requests, r.GoodPerSecond, percent(r.GoodShare), r.burnColumns(windows),
-		millis(r.P50Micros), millis(r.P99Micros), millis(r.MaxMicros),
-		r.Wrongful, r.Rejected, r.causeList())
+		r.Name, r.Requests, r.GoodPerSecond, Percent(r.GoodShare), r.burnColumns(windows),
+		Millis(r.P50Micros), Millis(r.P99Micros), Millis(r.MaxMicros),
+		r.Wrongful, r.Rejected, r.CauseList())
 }
 
 // burnHeadings names a column for each window.
 func (s Summary) burnHeadings() string {
 	text := ""
 	for _, window := range s.Windows {
-		text += "\tBURN " + windowName(window)
+		text += "\tBURN " + WindowName(window)
 	}
 	return text
 }
@@ -51,21 +51,23 @@
 func (r Row) burnColumns(windows []time.Duration) string {
 	text := ""
 	for _, window := range windows {
-		text += fmt.Sprintf("\t%.2f", r.Burns[windowName(window)])
+		text += fmt.Sprintf("\t%.2f", r.Burns[WindowName(window)])
 	}
 	return text
 }
 
-func percent(share float64) string {
+// Percent writes a share from 0 to 1.
+func Percent(share float64) string {
 	return fmt.Sprintf("%.2f%%", 100*share)
 }
 
-func millis(micros int64) string {
+// Millis writes a time of microseconds in milliseconds.
+func Millis(micros int64) string {
 	return fmt.Sprintf("%.1fms", float64(micros)/1000)
 }
 
-// causeList names the causes, the most frequent first.
-func (r Row) causeList() string {
+// CauseList names the causes, the most frequent first.
+func (r Row) CauseList() string {
 	names := make([]string, 0, len(r.Causes))
 	for name := range r.Causes {
 		names = append(names, name)
