Read the store less often in storms of changes

Ruled out: one reader in each zone (4 calls a second less): the other nodes of the zone would learn only after 0.7 s that theirs stands still, too long beside apply-s.

Change: after a read that brought changes soon, the pause before the next grows from 60 to 240 ms, which is also the pause after a node's first read; a change after 0.2 s of calm is read at once, as before. TestSettling (78 nodes that start, nodes replaced one after the other): 168 and 100 reads in 10 s before, 44 now, known 220 ms late at most.

--- a/roster/follower.go
+++ b/roster/follower.go
@@ -19,9 +19,6 @@
 )
 
 const (
-	// settleTime is the pause between two reads of the service, so that changes
-	// that come together take one call.
-	settleTime = 60 * time.Millisecond
 	// replyWait is how long a node holds a query for a change.
 	replyWait = 250 * time.Millisecond
 	// queryTimeout bounds a query of another node.
@@ -67,6 +64,8 @@
 type Follower struct {
 	config FollowerConfig
 	boot   clock.Boot
+	// settling belongs to Run alone.
+	settling settling
 
 	mu      sync.Mutex
 	mirror  *Mirror
@@ -155,7 +154,7 @@
 	}
 	f.take(source, delta, began-age)
 	if source.IsService() {
-		clock.Sleep(ctx, settleTime)
+		clock.Sleep(ctx, f.settling.after(f.boot.Now()-began))
 	}
 	return true
 }
