Tell of nodes that are given up, whoever notices it

Cause, found by reading: a VM whose entry has lapsed is listed for two seconds more. Where that time ended between a read and the next one, the list of members was made anew without telling anybody, and the next look saw no difference: the node's server stayed a target, and its homes of rates its own, until another entry changed. As old as the roster; pauses of 240 ms between reads would have made it more frequent.

Change: whoever makes the list anew tells of it. TestGivenUpNodesAreTold: before the next read, not told before.

--- a/roster/follower.go
+++ b/roster/follower.go
@@ -241,18 +241,15 @@
 		close(f.changed)
 		f.changed = make(chan struct{})
 	}
-	if f.refresh(changed) || changed {
-		f.config.OnChange(View{Mirror: f.mirror, Members: f.members})
-	}
+	f.refresh(changed)
 }
 
 // refresh makes the list of members anew where entries have changed or were given
-// up, and tells whether it has another length.
-func (f *Follower) refresh(changed bool) bool {
+// up, and tells of that.
+func (f *Follower) refresh(changed bool) {
 	if expired := f.mirror.Expire(f.boot.Now()); !expired && !changed {
-		return false
+		return
 	}
-	before := len(f.members)
 	members, malformed := f.mirror.Members(func(key string) bool {
 		return strings.HasPrefix(key, f.config.MemberPrefix)
 	})
@@ -263,7 +260,7 @@
 			f.config.OnMalformed(err)
 		}
 	}
-	return len(members) != before
+	f.config.OnChange(View{Mirror: f.mirror, Members: f.members})
 }
 
 func (f *Follower) failed(source Source, err error) {
--- a/roster/follower_test.go
+++ b/roster/follower_test.go
@@ -158,3 +158,27 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 }
+
+// TestGivenUpNodesAreTold is the pattern of a VM that is gone for good in calm: no change
+// follows in which its node's end could be told, whoever looks first after its entry has
+// lapsed for too long.
+func TestGivenUpNodesAreTold(t *testing.T) {
+	looks := map[string]func(*Follower){
+		"before the next read": func(f *Follower) { f.next() },
+		"after a read":         func(f *Follower) { f.learn(Delta{Revision: 3}, f.boot.Now()) },
+	}
+	for name, look := range looks {
+		t.Run(name, func(t *testing.T) {
+			var told []int
+			f := NewFollower(FollowerConfig{
+				VM: "a", Zone: "z", MemberPrefix: "online/",
+				OnChange: func(view View) { told = append(told, len(view.Members)) },
+				Logger:   zap.NewNop(),
+			})
+			f.learn(Delta{Whole: true, Revision: 2, Entries: []kv.Entry{entry("online/a", 1), entry("online/b", 2)}}, f.boot.Now())
+			f.mirror.Apply(f.boot.Now()-returnTime, Delta{Revision: 3, Entries: []kv.Entry{removed("online/b", 3)}})
+			look(f)
+			assert.DeepEqual(t, told, []int{2, 1})
+		})
+	}
+}
