Let buffers of large answers come back from the pool

Cause, found by reading the change again: a buffer that is too small for a payload went back to the pool and was the next to come out of it, and the buffer for joined writes grew from nothing at each large write. The benchmark that was looked at has small answers alone. What is left is the multiplexer's receive buffer, made anew after each large answer: the price of holding little between calls.

Change: a buffer that is too small is dropped, the one for joined writes comes from the pool, and writes are of up to 16 KB. The reader is asked once whether a call has grown it.

--- a/peer/call_client.go
+++ b/peer/call_client.go
@@ -172,15 +172,14 @@
 		return
 	}
 	reusable := e.small && e.body.ended && e.frames.Buffered() == 0
-	grown := e.frames.rest()
+	if e.frames.rest() {
+		shrinkStream(e.stream.Conn)
+	}
 	e.frames.Release()
 	if !reusable {
 		_ = e.stream.Close()
 		return
 	}
-	if grown {
-		shrinkStream(e.stream.Conn)
-	}
 	e.session.idle.put(e.stream)
 }
 
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -56,7 +56,7 @@
 	readBufferBytes = 4 << 10
 	// mostWriteBytes is the most that is written at once: the multiplexer keeps a
 	// buffer as large for each session.
-	mostWriteBytes = 8 << 10
+	mostWriteBytes = 16 << 10
 )
 
 var (
@@ -195,7 +195,7 @@
 		r.payload = takeBuffer()
 	}
 	if cap(r.payload) < size {
-		giveBuffer(r.payload)
+		// The one that is too small would come back at the next call.
 		r.payload = make([]byte, size)
 	}
 	r.payload = r.payload[:size]
--- a/peer/join.go
+++ b/peer/join.go
@@ -27,6 +27,9 @@
 		if !announcesPayload(p) {
 			return c.Conn.Write(p)
 		}
+		if c.held == nil {
+			c.held = takeBuffer()
+		}
 		c.held = append(c.held, p...)
 		return len(p), nil
 	}
