Answer operators of a hosted node by what answers those of the others

platform/ had a JSON writer of its own for /report, beside the one of node's control server, which is a function of both now.

--- a/node/control.go
+++ b/node/control.go
@@ -62,13 +62,13 @@
 	case "/readyz":
 		c.ready(ctx)
 	case "/status":
-		c.writeJSON(ctx, c.node.Status())
+		writeJSON(ctx, c.node.Status())
 	case "/metrics":
 		c.node.metrics.Handler(ctx)
 	case "/targets":
-		c.writeJSON(ctx, c.node.targets())
+		writeJSON(ctx, c.node.targets())
 	case "/report":
-		c.writeJSON(ctx, c.node.recorder.Snapshot(time.Now()))
+		writeJSON(ctx, c.node.recorder.Snapshot(time.Now()))
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
@@ -83,7 +83,8 @@
 	ctx.SetBodyString("ready\n")
 }
 
-func (c *controlServer) writeJSON(ctx *fasthttp.RequestCtx, value any) {
+// writeJSON answers an operator with a value.
+func writeJSON(ctx *fasthttp.RequestCtx, value any) {
 	data, err := json.Marshal(value)
 	if err != nil {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
--- a/node/hosted.go
+++ b/node/hosted.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -192,8 +193,10 @@
 // Metrics returns the node's metrics.
 func (h *Hosted) Metrics() *metrics.Metrics { return h.metrics }
 
-// Report returns what became of the requests of this node's callers.
-func (h *Hosted) Report(now time.Time) report.Snapshot { return h.recorder.Snapshot(now) }
+// WriteReport answers an operator with what became of the requests of this node's callers.
+func (h *Hosted) WriteReport(ctx *fasthttp.RequestCtx) {
+	writeJSON(ctx, h.recorder.Snapshot(time.Now()))
+}
 
 // Index returns the configuration in force; nil before the first.
 func (h *Hosted) Index() *bundle.Index { return h.index.Load() }
