Log the source and the confirmation gap of a version, and late timers

'bundle: version in force' now has 'from' and 'unconfirmedFor', 'node: timer was late' is logged above half a second, and the gauge view_age_seconds shows the age of the view. No logic changes.

--- a/node/counters.go
+++ b/node/counters.go
@@ -25,6 +25,8 @@
 	violations tally.Counter
 
 	inFlight, limit, liveCalls, bundleVersion tally.Gauge
+	// viewAge is the time in seconds since the node's view was last confirmed.
+	viewAge tally.Gauge
 
 	scope tally.Scope
 	// events holds the counters of log lines by their message.
@@ -43,6 +45,7 @@
 		limit:         scope.Gauge("concurrency_limit"),
 		liveCalls:     scope.Gauge("live_calls"),
 		bundleVersion: scope.Gauge("bundle_version"),
+		viewAge:       scope.Gauge("view_age_seconds"),
 	}
 	for cause := range request.Causes {
 		c.requests[cause] = scope.Tagged(map[string]string{"cause": cause.String()}).Counter("requests")
--- a/node/hosted.go
+++ b/node/hosted.go
@@ -26,6 +26,10 @@
 	"auburngap/roster"
 )
 
+// maxTimerDelay is the delay of a timer above which it is logged: the process was frozen
+// or got no processor time.
+const maxTimerDelay = 500 * time.Millisecond
+
 // HostedConfig configures a Hosted.
 type HostedConfig struct {
 	VM   string
@@ -210,13 +214,26 @@
 
 // gaugeUntil reads the gauges until the context ends.
 func (h *Hosted) gaugeUntil(ctx context.Context) error {
-	for clock.Sleep(ctx, gaugeInterval) {
-		load := h.local.guard.load(false)
-		h.counters.inFlight.Update(float64(load.InFlight.Total()))
-		h.counters.limit.Update(float64(load.Limit))
-		if index := h.index.Load(); index != nil {
-			h.counters.bundleVersion.Update(float64(index.Bundle.Version))
+	for {
+		startedAt := h.boot.Now()
+		if !clock.Sleep(ctx, gaugeInterval) {
+			return nil
+		}
+		if delay := h.boot.Now() - startedAt - gaugeInterval; delay > maxTimerDelay {
+			h.logger.Warn("node: timer was late", zap.Duration("by", delay))
 		}
+		h.readGauges()
+	}
+}
+
+func (h *Hosted) readGauges() {
+	load := h.local.guard.load(false)
+	h.counters.inFlight.Update(float64(load.InFlight.Total()))
+	h.counters.limit.Update(float64(load.Limit))
+	if index := h.index.Load(); index != nil {
+		h.counters.bundleVersion.Update(float64(index.Bundle.Version))
+	}
+	if confirmedAt, ok := h.follower.ConfirmedAt(); ok {
+		h.counters.viewAge.Update((h.boot.Now() - confirmedAt).Seconds())
 	}
-	return nil
 }
--- a/node/hosted_roster.go
+++ b/node/hosted_roster.go
@@ -82,7 +82,8 @@
 		close(h.ready)
 	}
 	h.logger.Info("bundle: version in force", zap.Uint64("version", decoded.Version),
-		zap.Uint64("revision", uint64(entry.Revision)),
+		zap.Uint64("revision", uint64(entry.Revision)), zap.Stringer("from", view.Source),
+		zap.Duration("unconfirmedFor", view.UnconfirmedFor),
 		zap.Int("routes", len(decoded.Routes)), zap.Int("workspaces", len(decoded.Workspaces)))
 }
 
--- a/roster/follower.go
+++ b/roster/follower.go
@@ -60,6 +60,11 @@
 type View struct {
 	Mirror  *Mirror
 	Members []Member
+	// Source is where the latest changes were read.
+	Source Source
+	// UnconfirmedFor is how long the view had not been confirmed before that read; zero
+	// for the first view.
+	UnconfirmedFor time.Duration
 }
 
 // Follower keeps a node's view up to date. It reads from the key-value service or
@@ -86,13 +91,22 @@
 	// failing is set from a failed read until the next successful one.
 	failing bool
 	// source is the source of the last successful read.
-	source Source
+	source   Source
+	lastRead lastRead
 	// changed is closed at the next change.
 	changed chan struct{}
 	// malformed holds the errors that OnMalformed was called with.
 	malformed map[string]bool
 }
 
+// lastRead describes the read whose changes were applied last.
+type lastRead struct {
+	source Source
+	// unconfirmedFor is how long the view had not been confirmed before; zero for the
+	// first read.
+	unconfirmedFor time.Duration
+}
+
 // NewFollower returns a follower with an empty view.
 func NewFollower(config FollowerConfig) *Follower {
 	return &Follower{
@@ -154,7 +168,7 @@
 	if err != nil {
 		f.handleFailure(source, err)
 		if delta.Revision > revision {
-			f.apply(delta, startedAt-age)
+			f.apply(source, delta, startedAt-age)
 		}
 		return false
 	}
@@ -236,13 +250,17 @@
 	}
 	f.failing, f.source = false, source
 	f.mu.Unlock()
-	f.apply(delta, confirmedAt)
+	f.apply(source, delta, confirmedAt)
 }
 
-// apply applies a delta that was up to date at confirmedAt.
-func (f *Follower) apply(delta Delta, confirmedAt time.Duration) {
+// apply applies a delta that a source knows and that was up to date at confirmedAt.
+func (f *Follower) apply(source Source, delta Delta, confirmedAt time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.lastRead = lastRead{source: source}
+	if f.mirror.Revision() > 0 {
+		f.lastRead.unconfirmedFor = f.boot.Now() - f.confirmedAt
+	}
 	changed := f.mirror.Apply(f.boot.Now(), delta)
 	f.confirmedAt = max(f.confirmedAt, confirmedAt)
 	if changed {
@@ -268,7 +286,12 @@
 			f.config.OnMalformed(err)
 		}
 	}
-	f.config.OnChange(View{Mirror: f.mirror, Members: f.members})
+	f.config.OnChange(View{
+		Mirror:         f.mirror,
+		Members:        f.members,
+		Source:         f.lastRead.source,
+		UnconfirmedFor: f.lastRead.unconfirmedFor,
+	})
 }
 
 func (f *Follower) handleFailure(source Source, err error) {
--- a/roster/follower_test.go
+++ b/roster/follower_test.go
@@ -166,7 +166,7 @@
 func TestExpiredMembersAreReported(t *testing.T) {
 	triggers := map[string]func(*Follower){
 		"before the next read": func(f *Follower) { f.nextSource() },
-		"after a read":         func(f *Follower) { f.apply(Delta{Revision: 3}, f.boot.Now()) },
+		"after a read":         func(f *Follower) { f.apply(Source{}, Delta{Revision: 3}, f.boot.Now()) },
 	}
 	for name, trigger := range triggers {
 		t.Run(name, func(t *testing.T) {
@@ -176,7 +176,7 @@
 				OnChange: func(view View) { memberCounts = append(memberCounts, len(view.Members)) },
 				Logger:   zap.NewNop(),
 			})
-			f.apply(Delta{Whole: true, Revision: 2, Entries: []kv.Entry{entry("online/a", 1), entry("online/b", 2)}}, f.boot.Now())
+			f.apply(Source{}, Delta{Whole: true, Revision: 2, Entries: []kv.Entry{entry("online/a", 1), entry("online/b", 2)}}, f.boot.Now())
 			f.mirror.Apply(f.boot.Now()-lapsedMemberTTL, Delta{Revision: 3, Entries: []kv.Entry{removed("online/b", 3)}})
 			trigger(f)
 			assert.DeepEqual(t, memberCounts, []int{2, 1})
