Keep the readers of an ended session from spinning

Cause: from the moment a yamux session shuts down until its Close has closed the streams, Stream.Read and Stream.Write of each waiting stream select on the closed shutdown channel and start over. Close needs the connection closed and its receive loop ended first; on one core it has to wait for its turn among the readers.

Change: a session wraps its streams (muxStream) and gives all of them a deadline in the past before it shuts down: when nothing more can be read, when the connection is closed, and in Session.Close. yamux then returns from a wait at once. The reads still return what has arrived, then io.EOF as before. Calls, control messages and the streams of the directory all go through these sessions, so the same holds for them.

--- a/peer/call_client.go
+++ b/peer/call_client.go
@@ -193,7 +193,7 @@
 
 func (e *exchange) cancel() {
 	// The deadline unblocks a reader; closing the stream notifies the peer.
-	_ = e.stream.SetDeadline(time.Unix(1, 0))
+	_ = e.stream.SetDeadline(pastDeadline)
 	_ = e.stream.Close()
 }
 
--- a/peer/call_server.go
+++ b/peer/call_server.go
@@ -130,7 +130,7 @@
 		return
 	}
 	// The error is ignored: if the stream is closed already, the watch ends too.
-	_ = stream.SetReadDeadline(time.Unix(1, 0))
+	_ = stream.SetReadDeadline(pastDeadline)
 	<-c.watchDone
 }
 
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -279,7 +279,7 @@
 	if err != nil {
 		return err
 	}
-	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(pastDeadline) })
 	defer stop()
 	defer func() { _ = stream.Close() }()
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -139,7 +139,7 @@
 
 func (s *Server) acceptStreams(ctx context.Context, session *Session) {
 	for {
-		stream, err := session.mux.AcceptStream()
+		stream, err := session.acceptStream()
 		if err != nil {
 			return
 		}
--- a/peer/session.go
+++ b/peer/session.go
@@ -62,8 +62,9 @@
 
 // Session is an open connection to another node.
 type Session struct {
-	mux  *yamux.Session
-	idle idleStreams
+	mux     *yamux.Session
+	streams *openStreams
+	idle    idleStreams
 	// control counts the open streams that carry no calls.
 	control  atomic.Int64
 	activity *activityConn
@@ -105,11 +106,12 @@
 		return nil, ErrHello.Wrap(err, "clear deadline")
 	}
 	heard := newActivityConn(conn)
-	mux, err := start(&coalescingConn{Conn: heard}, muxConfig(timing))
+	streams := &openStreams{}
+	mux, err := start(&endingConn{Conn: &coalescingConn{Conn: heard}, streams: streams}, muxConfig(timing))
 	if err != nil {
 		return nil, ErrHello.Wrap(err, "start session")
 	}
-	return &Session{mux: mux, activity: heard, probeAfter: timing.ProbeAfter, probeAfterInUse: timing.ProbeAfterInUse, Peer: identity}, nil
+	return &Session{mux: mux, streams: streams, activity: heard, probeAfter: timing.ProbeAfter, probeAfterInUse: timing.ProbeAfterInUse, Peer: identity}, nil
 }
 
 func sendHello(conn net.Conn, self Identity) error {
@@ -156,7 +158,16 @@
 	if err != nil {
 		return nil, ErrUnreachable.Wrap(err, "open stream to %s", s.Peer.VM)
 	}
-	return stream, nil
+	return s.streams.add(stream), nil
+}
+
+// acceptStream waits for a stream that the peer opens.
+func (s *Session) acceptStream() (net.Conn, error) {
+	stream, err := s.mux.AcceptStream()
+	if err != nil {
+		return nil, err
+	}
+	return s.streams.add(stream), nil
 }
 
 // openControl opens a stream that carries no calls.
@@ -191,6 +202,7 @@
 
 // Close ends the session and all of its streams.
 func (s *Session) Close() error {
+	s.streams.end()
 	return s.mux.Close()
 }
 
