Read the view from a further source while a read is overdue

What callers saw: a healthy node handled requests by an older configuration for longer than the time within which a confirmed one must be in force, while other nodes of its zone were impaired.

Cause: a node did one read at a time. It waited 0.7 s for each silent reader of its zone, then paused, and turned to the service only while both readers were in their backoff. The backoff, 0.3 s at first, is shorter than a silent query, so that the readers took turns in being asked for seconds. Besides, a reader's answer counted as a success whether or not it confirmed anything later than what the node knew: two cut-off readers kept each other's views in use.

Change: a read that takes longer than a healthy one (0.35 s for a query, the watch's wait and 0.3 s for the service) no longer keeps the next source from being read; it goes on beside it. A view is suspect if nothing has confirmed a later time for 1.3 s (1.55 s through another node), at every node and not only at readers of the service, and a node whose view is suspect reads from the service at once. A query is answered as soon as the view becomes suspect. A failed read of the service counts from its start. Follower.Now is handed in.

--- a/roster/follower.go
+++ b/roster/follower.go
@@ -24,12 +24,13 @@
 	maxReplyDelay = 250 * time.Millisecond
 	// queryTimeout is the timeout of a query to another node.
 	queryTimeout = 700 * time.Millisecond
+	// queryOverdueAfter is the time after which a query no longer keeps the node from
+	// reading from another source.
+	queryOverdueAfter = maxReplyDelay + 100*time.Millisecond
 	// maxSourceAge is the age above which another node's view is rejected as a source.
 	maxSourceAge = 3 * time.Second
-	// minRetryPause is the pause after a failed read. It doubles with each further
-	// failure, up to maxRetryPause.
-	minRetryPause = 30 * time.Millisecond
-	maxRetryPause = 240 * time.Millisecond
+	// maxIdleTime is the maximum time between two looks at whether a read has to start.
+	maxIdleTime = time.Second
 )
 
 // QueryFunc sends a control message to the node at address and stores the answer in reply.
@@ -43,8 +44,9 @@
 	Zone   string
 	// Prefix is a common prefix of the configuration's key and of the keys of members.
 	Prefix string
-	// SuspectReadAfter is how long a read of the service may take until the view is
-	// suspect: the longest wait of a watch and the time of a round trip.
+	// SuspectReadAfter is how long a read of the service may take until it is overdue: the
+	// longest wait of a watch and the time of a round trip. The view is suspect if it has
+	// not been confirmed for that time.
 	SuspectReadAfter time.Duration
 	// MemberPrefix is the prefix of the keys of members.
 	MemberPrefix string
@@ -54,6 +56,8 @@
 	// once for each distinct error.
 	OnMalformed func(error)
 	Logger      *zap.Logger
+	// Now is the clock; nil means the time since boot.
+	Now func() time.Duration
 }
 
 // View is what a node knows about its site.
@@ -68,25 +72,29 @@
 }
 
 // Follower keeps a node's view up to date. It reads from the key-value service or
-// from another node.
+// from another node, and from a further source while a read takes too long.
 type Follower struct {
 	config FollowerConfig
-	boot   clock.Boot
-	// readPacer is used by Run alone and needs no lock.
-	readPacer readPacer
+	// readEnded receives a value when a read has ended.
+	readEnded chan struct{}
 
-	mu      sync.Mutex
-	mirror  *Mirror
-	sources *SourceSelector
-	members []Member
-	random  *rand.Rand
+	mu sync.Mutex
+	// readPacer paces the reads of the service.
+	readPacer readPacer
+	mirror    *Mirror
+	sources   *SourceSelector
+	members   []Member
+	random    *rand.Rand
 	// confirmedAt is the latest time since boot at which the view is known to have been
 	// up to date.
 	confirmedAt time.Duration
-	// readOverdueAt is the time since boot from which the read of the service in
-	// progress is overdue; zero if there is none.
-	readOverdueAt time.Duration
-	// serviceFailedAt is the time since boot of the last failed read of the service.
+	// confirmedBy is the source that the view was last confirmed by.
+	confirmedBy Source
+	// waitingSince is the time since boot at which the first read began since the view was
+	// last confirmed at a later time; zero if none has.
+	waitingSince time.Duration
+	// serviceFailedAt is the time since boot at which the last failed read of the service
+	// began.
 	serviceFailedAt time.Duration
 	// failing is set from a failed read until the next successful one.
 	failing bool
@@ -109,11 +117,15 @@
 
 // NewFollower returns a follower with an empty view.
 func NewFollower(config FollowerConfig) *Follower {
+	if config.Now == nil {
+		config.Now = clock.Boot{}.Now
+	}
 	return &Follower{
 		config:    config,
 		mirror:    NewMirror(),
 		sources:   NewSourceSelector(config.VM, config.Zone),
 		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		readEnded: make(chan struct{}, 1),
 		changed:   make(chan struct{}),
 		malformed: make(map[string]bool),
 	}
@@ -143,60 +155,123 @@
 
 // Run reads from the chosen sources until ctx is done.
 func (f *Follower) Run(ctx context.Context) error {
-	pause := minRetryPause
+	var reads sync.WaitGroup
+	defer reads.Wait()
 	for ctx.Err() == nil {
-		source, revision, ok := f.nextSource()
-		if ok && f.readOnce(ctx, source, revision) {
-			pause = minRetryPause
+		next, wait := f.nextRead()
+		if next != nil {
+			reads.Go(func() { f.readOnce(ctx, next) })
 			continue
 		}
-		clock.Sleep(ctx, pause)
-		pause = min(2*pause, maxRetryPause)
+		f.awaitRead(ctx, wait)
 	}
 	return nil
 }
 
-// readOnce reads from a source once and reports whether it is usable. The changes
-// that a suspect source knows are applied too: they are correct, but may be
-// incomplete.
-func (f *Follower) readOnce(ctx context.Context, source Source, revision kv.Revision) bool {
-	startedAt := f.boot.Now()
-	delta, age, err := f.read(ctx, source, revision)
+// awaitRead waits until a read ends, for a time or until ctx is done.
+func (f *Follower) awaitRead(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-f.readEnded:
+	case <-timer.C:
+	}
+}
+
+// sourceRead is a read of a source.
+type sourceRead struct {
+	source Source
+	// revision is that of the local view when the read began.
+	revision  kv.Revision
+	startedAt time.Duration
+}
+
+// nextRead returns the read to start, or how long there is none.
+func (f *Follower) nextRead() (next *sourceRead, wait time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refreshMembers(false)
+	now := f.config.Now()
+	source, ok := f.sources.Next(now, f.members, f.isSuspect(), f.random)
+	if !ok {
+		latest := now + maxIdleTime
+		if until := f.untilSuspect(now); until > 0 {
+			latest = now + min(maxIdleTime, until)
+		}
+		return nil, f.sources.NextAt(now, latest) - now
+	}
+	overdueAt := now + queryOverdueAfter
+	if source.IsService() {
+		overdueAt = now + f.config.SuspectReadAfter
+	}
+	f.sources.Started(source, overdueAt)
+	if f.waitingSince == 0 {
+		f.waitingSince = now
+	}
+	return &sourceRead{source: source, revision: f.mirror.Revision(), startedAt: now}, 0
+}
+
+// readOnce does a read and, after a read of the service, pauses. The changes that a
+// suspect source knows are applied too: they are correct, but may be incomplete.
+func (f *Follower) readOnce(ctx context.Context, read *sourceRead) {
+	defer f.endRead(read.source)
+	delta, age, err := f.read(ctx, read.source, read.revision)
 	if ctx.Err() != nil {
-		return false
+		return
 	}
 	if err != nil {
-		f.handleFailure(source, err)
-		if delta.Revision > revision {
-			f.apply(source, delta, startedAt-age)
+		f.handleFailure(read, err)
+		if delta.Revision > read.revision {
+			f.apply(read.source, delta, read.startedAt-age)
 		}
-		return false
+		return
 	}
-	f.handleSuccess(source, delta, startedAt-age)
-	if source.IsService() {
-		clock.Sleep(ctx, f.readPacer.pauseAfter(f.boot.Now()-startedAt))
+	f.handleSuccess(read.source, delta, read.startedAt-age)
+	if read.source.IsService() {
+		clock.Sleep(ctx, f.startPause(read))
 	}
-	return true
 }
 
-// nextSource returns the source to read from and the revision of the local view;
-// false while every source is in its backoff after a failure.
-func (f *Follower) nextSource() (Source, kv.Revision, bool) {
+// startPause returns the pause after a read of the service. Other reads do not start
+// meanwhile.
+func (f *Follower) startPause(read *sourceRead) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.refreshMembers(false)
-	now := f.boot.Now()
-	source, ok := f.sources.Next(now, f.members, f.random)
-	if ok && source.IsService() && f.readOverdueAt == 0 {
-		f.readOverdueAt = now + f.config.SuspectReadAfter
+	now := f.config.Now()
+	pause := f.readPacer.pauseAfter(now - read.startedAt)
+	f.sources.Started(read.source, now+pause+queryOverdueAfter)
+	return pause
+}
+
+func (f *Follower) endRead(source Source) {
+	f.mu.Lock()
+	f.sources.Ended(source)
+	f.mu.Unlock()
+	select {
+	case f.readEnded <- struct{}{}:
+	default:
 	}
-	return source, f.mirror.Revision(), ok
 }
 
-// isSuspect reports whether the view may be out of date: a read of the service is
-// overdue, or one has failed since the view was last confirmed.
+// isSuspect reports whether the view may be out of date: it has not been confirmed for
+// too long, or a read of the service has failed since it was last confirmed.
 func (f *Follower) isSuspect() bool {
-	return f.readOverdueAt != 0 && f.boot.Now() > f.readOverdueAt || f.serviceFailedAt > f.confirmedAt
+	return f.untilSuspect(f.config.Now()) <= 0 || f.serviceFailedAt > f.confirmedAt
+}
+
+// untilSuspect returns how long it takes until the view is suspect if it is not confirmed
+// before; zero or less if that time has passed. It takes longer to be confirmed through
+// another node.
+func (f *Follower) untilSuspect(now time.Duration) time.Duration {
+	if f.waitingSince == 0 {
+		return f.config.SuspectReadAfter
+	}
+	until := f.waitingSince + f.config.SuspectReadAfter - now
+	if !f.confirmedBy.IsService() {
+		until += maxReplyDelay
+	}
+	return until
 }
 
 // read returns the changes that a source knows after a revision, and the age of
@@ -244,7 +319,6 @@
 func (f *Follower) handleSuccess(source Source, delta Delta, confirmedAt time.Duration) {
 	f.mu.Lock()
 	f.sources.Succeeded(source)
-	f.readOverdueAt = 0
 	if f.failing || f.mirror.Revision() == 0 || source.IsService() != f.source.IsService() {
 		f.config.Logger.Info("roster: reading", zap.Stringer("from", source), zap.Bool("wasLost", f.failing), zap.Uint64("revision", uint64(delta.Revision)))
 	}
@@ -259,10 +333,12 @@
 	defer f.mu.Unlock()
 	f.lastRead = lastRead{source: source}
 	if f.mirror.Revision() > 0 {
-		f.lastRead.unconfirmedFor = f.boot.Now() - f.confirmedAt
+		f.lastRead.unconfirmedFor = f.config.Now() - f.confirmedAt
+	}
+	changed := f.mirror.Apply(f.config.Now(), delta)
+	if confirmedAt > f.confirmedAt {
+		f.confirmedAt, f.confirmedBy, f.waitingSince = confirmedAt, source, 0
 	}
-	changed := f.mirror.Apply(f.boot.Now(), delta)
-	f.confirmedAt = max(f.confirmedAt, confirmedAt)
 	if changed {
 		close(f.changed)
 		f.changed = make(chan struct{})
@@ -273,7 +349,7 @@
 // refreshMembers rebuilds the list of members and calls OnChange if entries have
 // changed or lapsed members have expired. The caller must hold the lock.
 func (f *Follower) refreshMembers(changed bool) {
-	if expired := f.mirror.Expire(f.boot.Now()); !expired && !changed {
+	if expired := f.mirror.Expire(f.config.Now()); !expired && !changed {
 		return
 	}
 	members, malformed := f.mirror.Members(func(key string) bool {
@@ -294,27 +370,28 @@
 	})
 }
 
-func (f *Follower) handleFailure(source Source, err error) {
+func (f *Follower) handleFailure(read *sourceRead, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.boot.Now()
-	f.sources.Failed(now, source)
-	if source.IsService() {
-		f.serviceFailedAt = now
+	now := f.config.Now()
+	f.sources.Failed(now, read.source)
+	if read.source.IsService() {
+		f.serviceFailedAt = max(f.serviceFailedAt, read.startedAt)
 	}
 	if !f.failing {
-		f.config.Logger.Warn("roster: no answer", zap.Stringer("from", source), zap.Duration("age", now-f.confirmedAt), zap.String("error", err.Error()))
+		f.config.Logger.Warn("roster: no answer", zap.Stringer("from", read.source), zap.Duration("age", now-f.confirmedAt), zap.String("error", err.Error()))
 	}
 	f.failing = true
 }
 
-// Answer serves a query of another node. It waits for a change, unless its view is
-// suspect: then the querying node should use another source soon.
+// Answer serves a query of another node. It waits for a change, but not longer than until
+// its view is suspect: then the querying node should use another source soon.
 func (f *Follower) Answer(ctx context.Context, query *peerpb.RosterQuery) *peerpb.RosterReply {
 	revision := kv.Revision(query.GetRevision())
 	wait := min(time.Duration(query.GetWaitMicros())*time.Microsecond, maxReplyDelay)
 	f.mu.Lock()
 	changed, ready := f.changed, f.mirror.Revision() > revision || f.isSuspect()
+	wait = min(wait, f.untilSuspect(f.config.Now()))
 	f.mu.Unlock()
 	if !ready {
 		timer := time.NewTimer(wait)
@@ -327,7 +404,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	reply := replyFromDelta(f.mirror.Since(revision), f.boot.Now()-f.confirmedAt)
+	reply := replyFromDelta(f.mirror.Since(revision), f.config.Now()-f.confirmedAt)
 	reply.InDoubt = f.isSuspect()
 	return reply
 }
--- a/roster/follower_test.go
+++ b/roster/follower_test.go
@@ -165,8 +165,8 @@
 // found before a read or after one.
 func TestExpiredMembersAreReported(t *testing.T) {
 	triggers := map[string]func(*Follower){
-		"before the next read": func(f *Follower) { f.nextSource() },
-		"after a read":         func(f *Follower) { f.apply(Source{}, Delta{Revision: 3}, f.boot.Now()) },
+		"before the next read": func(f *Follower) { f.nextRead() },
+		"after a read":         func(f *Follower) { f.apply(Source{}, Delta{Revision: 3}, f.config.Now()) },
 	}
 	for name, trigger := range triggers {
 		t.Run(name, func(t *testing.T) {
@@ -176,8 +176,8 @@
 				OnChange: func(view View) { memberCounts = append(memberCounts, len(view.Members)) },
 				Logger:   zap.NewNop(),
 			})
-			f.apply(Source{}, Delta{Whole: true, Revision: 2, Entries: []kv.Entry{entry("online/a", 1), entry("online/b", 2)}}, f.boot.Now())
-			f.mirror.Apply(f.boot.Now()-lapsedMemberTTL, Delta{Revision: 3, Entries: []kv.Entry{removed("online/b", 3)}})
+			f.apply(Source{}, Delta{Whole: true, Revision: 2, Entries: []kv.Entry{entry("online/a", 1), entry("online/b", 2)}}, f.config.Now())
+			f.mirror.Apply(f.config.Now()-lapsedMemberTTL, Delta{Revision: 3, Entries: []kv.Entry{removed("online/b", 3)}})
 			trigger(f)
 			assert.DeepEqual(t, memberCounts, []int{2, 1})
 		})
--- a/roster/mirror_test.go
+++ b/roster/mirror_test.go
@@ -105,7 +105,7 @@
 	members := []Member{member("a", "near", 1), member("b", "near", 2), member("c", "near", 3), member("d", "far", 4)}
 	service := Source{}
 	next := func(s *SourceSelector, now time.Duration, members []Member) Source {
-		source, ok := s.Next(now, members, random)
+		source, ok := s.Next(now, members, false, random)
 		assert.Assert(t, ok)
 		return source
 	}
@@ -134,7 +134,7 @@
 	assert.Equal(t, next(other, 0, members), first)
 	other.Failed(0, first)
 	other.Failed(0, node(3))
-	_, ok := other.Next(0, members, random)
+	_, ok := other.Next(0, members, false, random)
 	assert.Assert(t, !ok, "a source is returned although all sources have just failed")
 }
 
