End what is sent to a blocked peer at its deadline

What callers saw: a query to a frozen node returned only after the session's response timeout (5 s; 1.5 s on the users' platform) although its own is 0.7 s, if the connection to that node was full, as it is soon under load. A follower that did one read at a time did nothing else meanwhile. Calls to such a node were held past their deadline in the same way.

Cause: yamux waits for its connection to take the header of a new stream and the bytes of a write, and looks at the stream's deadline only where the peer's window is used up.

Change: OpenStream returns when its context ends; a stream that opens later is closed. Writes to a stream that this node opened are done by another goroutine, from a copy, so that a deadline in the past, Close and the end of the session end a Write at once. What was written may still be sent, so the outcome of such a call is unknown, as before. Close does not wait until the peer is told.

Evidence: TestBlockedPeerDelaysNobody, a peer that reads nothing after its hello and a full connection, 0.3 s to the deadline.

--- /dev/null
+++ b/peer/blocked_test.go
@@ -0,0 +1,91 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"auburngap/peer/peerpb"
+)
+
+const (
+	// blockedWait is the time that the callers of a blocked session have.
+	blockedWait = 300 * time.Millisecond
+	// maxDelay is how much later than its context's end a call may return.
+	maxDelay = 200 * time.Millisecond
+)
+
+// startBlockedPeer returns the address of a node that accepts a session and then reads
+// nothing more, as if it were frozen.
+func startBlockedPeer(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.Check(t, listener.Close()) })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			assert.Check(t, conn.(*net.TCPConn).SetReadBuffer(4<<10))
+			_, err = readHello(conn)
+			assert.Check(t, err)
+			assert.Check(t, sendHello(conn, identity("frozen")))
+			t.Cleanup(func() { _ = conn.Close() })
+		}
+	}()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// blockSession sends calls with large bodies to a node until its connection takes no more.
+func blockSession(t *testing.T, pool *Pool, address netip.AddrPort) {
+	t.Helper()
+	body := bytes.Repeat([]byte("mug "), 64<<10)
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	for range 48 {
+		call := newCall("")
+		call.Body, call.BodySize = bytes.NewReader(body), int64(len(body))
+		go func() { _, _ = pool.Call(ctx, address, call) }()
+	}
+	time.Sleep(blockedWait)
+}
+
+// TestBlockedPeerDelaysNobody: a frozen node's connection was full. What was sent to it
+// returned only seconds after its deadline, because the multiplexer waits for the
+// connection whatever the deadline is.
+func TestBlockedPeerDelaysNobody(t *testing.T) {
+	cases := map[string]func(ctx context.Context, pool *Pool, address netip.AddrPort) error{
+		"control message": func(ctx context.Context, pool *Pool, address netip.AddrPort) error {
+			return Ask(ctx, pool, address, KindRoster, &peerpb.RosterQuery{}, &peerpb.RosterReply{})
+		},
+		"call": func(ctx context.Context, pool *Pool, address netip.AddrPort) error {
+			_, err := pool.Call(ctx, address, newCall(""))
+			return err
+		},
+		"call with a body": func(ctx context.Context, pool *Pool, address netip.AddrPort) error {
+			_, err := pool.Call(ctx, address, newCall("mug"))
+			return err
+		},
+	}
+	for name, send := range cases {
+		t.Run(name, func(t *testing.T) {
+			address, pool := startBlockedPeer(t), newPool(t, nil)
+			blockSession(t, pool, address)
+			ctx, cancel := context.WithTimeout(t.Context(), blockedWait)
+			defer cancel()
+			startedAt := time.Now()
+			err := send(ctx, pool, address)
+			took := time.Since(startedAt)
+			t.Logf("%v: %v", took, err)
+			assert.Check(t, err != nil)
+			assert.Check(t, took < blockedWait+maxDelay, "%v", took)
+		})
+	}
+}
--- a/peer/muxstream.go
+++ b/peer/muxstream.go
@@ -13,15 +13,29 @@
 // pastDeadline is a deadline that ends every read and write at once.
 var pastDeadline = time.Unix(1, 0)
 
-// muxStream is a stream of a session. Its reads and writes end when the stream is closed
-// or the session ends.
+// muxStream is a stream of a session. Its reads and writes end when the stream is closed,
+// a deadline has passed or the session ends.
 //
 // A yamux stream does not block from the moment its session shuts down until the session
 // has closed the stream: a waiting Read or Write then uses the processor all the time. A
-// deadline that has passed keeps them from waiting at all.
+// deadline that has passed keeps them from waiting at all. Besides, a yamux stream waits
+// for the connection to take its bytes whatever its deadline is. So the writes to a stream
+// that this node opened are done by another goroutine, which goes on after Write has
+// returned.
 type muxStream struct {
 	*yamux.Stream
 	session *openStreams
+	// written receives the result of each write; nil if the peer opened the stream.
+	written chan writeResult
+	// ended is closed once writes must not wait any longer.
+	ended   chan struct{}
+	endOnce sync.Once
+}
+
+// writeResult is what a Write of a yamux stream returned.
+type writeResult struct {
+	n   int
+	err error
 }
 
 // Read implements io.Reader. It returns io.EOF once the session has ended.
@@ -33,35 +47,71 @@
 	return n, err
 }
 
-// Write implements io.Writer. It returns yamux.ErrSessionShutdown once the session has
-// ended.
+// Write implements io.Writer. After an error the bytes may still be sent.
 func (s *muxStream) Write(p []byte) (int, error) {
-	n, err := s.Stream.Write(p)
-	if errors.Is(err, yamux.ErrTimeout) && s.session.hasEnded() {
-		return n, yamux.ErrSessionShutdown
+	if s.written == nil {
+		return s.Stream.Write(p)
 	}
-	return n, err
+	go s.write(append(getBuffer(), p...))
+	select {
+	case result := <-s.written:
+		return result.n, result.err
+	case <-s.ended:
+		return 0, yamux.ErrTimeout
+	}
+}
+
+// write writes a buffer and releases it.
+func (s *muxStream) write(buffer []byte) {
+	n, err := s.Stream.Write(buffer)
+	putBuffer(buffer)
+	s.written <- writeResult{n, err}
 }
 
-// Close implements io.Closer. It unblocks a Read in progress.
+// Close implements io.Closer. It unblocks a Read or Write in progress and does not wait
+// until the peer is told.
 func (s *muxStream) Close() error {
 	s.session.remove(s)
-	return errors.Join(s.Stream.SetDeadline(pastDeadline), s.Stream.Close())
+	s.end()
+	go func() { _ = s.Stream.Close() }()
+	return nil
 }
 
-// SetDeadline implements net.Conn.
+// end unblocks the reads and writes of the stream.
+func (s *muxStream) end() {
+	s.endOnce.Do(func() { close(s.ended) })
+	_ = s.Stream.SetDeadline(pastDeadline) // it never fails
+}
+
+// SetDeadline implements net.Conn. A write ends only by a deadline that has already passed.
 func (s *muxStream) SetDeadline(t time.Time) error {
-	return s.session.keepEnded(s, s.Stream.SetDeadline(t))
+	return errors.Join(s.SetReadDeadline(t), s.SetWriteDeadline(t))
 }
 
 // SetReadDeadline implements net.Conn.
 func (s *muxStream) SetReadDeadline(t time.Time) error {
-	return s.session.keepEnded(s, s.Stream.SetReadDeadline(t))
+	err := s.Stream.SetReadDeadline(t)
+	s.keepEnded()
+	return err
 }
 
-// SetWriteDeadline implements net.Conn.
+// SetWriteDeadline implements net.Conn. A write ends only by a deadline that has already
+// passed; further writes then fail too.
 func (s *muxStream) SetWriteDeadline(t time.Time) error {
-	return s.session.keepEnded(s, s.Stream.SetWriteDeadline(t))
+	err := s.Stream.SetWriteDeadline(t)
+	if !t.IsZero() && !t.After(time.Now()) {
+		s.endOnce.Do(func() { close(s.ended) })
+	}
+	s.keepEnded()
+	return err
+}
+
+// keepEnded sets the past deadline again after another one was set, if the session has
+// ended.
+func (s *muxStream) keepEnded() {
+	if s.session.hasEnded() {
+		_ = s.Stream.SetDeadline(pastDeadline) // it never fails
+	}
 }
 
 // openStreams holds the open streams of a session, to unblock them before the session
@@ -72,13 +122,22 @@
 	ended   bool
 }
 
-// add returns the stream that wraps a stream of the session.
-func (o *openStreams) add(stream *yamux.Stream) *muxStream {
-	s := &muxStream{Stream: stream, session: o}
+// opened returns the stream that wraps one that this node has opened.
+func (o *openStreams) opened(stream *yamux.Stream) *muxStream {
+	// The buffer lets a write end whose result is not received any more.
+	return o.add(&muxStream{Stream: stream, session: o, ended: make(chan struct{}), written: make(chan writeResult, 1)})
+}
+
+// accepted returns the stream that wraps one that the peer has opened.
+func (o *openStreams) accepted(stream *yamux.Stream) *muxStream {
+	return o.add(&muxStream{Stream: stream, session: o, ended: make(chan struct{})})
+}
+
+func (o *openStreams) add(s *muxStream) *muxStream {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.ended {
-		_ = stream.SetDeadline(pastDeadline) // it never fails
+		s.end()
 		return s
 	}
 	if o.streams == nil {
@@ -100,7 +159,7 @@
 	defer o.mu.Unlock()
 	o.ended = true
 	for s := range o.streams {
-		_ = s.Stream.SetDeadline(pastDeadline) // it never fails
+		s.end()
 	}
 	clear(o.streams)
 }
@@ -111,15 +170,6 @@
 	return o.ended
 }
 
-// keepEnded sets the past deadline again after another one was set, if the session has
-// ended.
-func (o *openStreams) keepEnded(s *muxStream, err error) error {
-	if o.hasEnded() {
-		_ = s.Stream.SetDeadline(pastDeadline) // it never fails
-	}
-	return err
-}
-
 // endingConn is the connection of a session. It ends the session's streams as soon as
 // nothing more can be read, and before the connection is closed.
 type endingConn struct {
--- a/peer/session.go
+++ b/peer/session.go
@@ -151,14 +151,34 @@
 	return Identity{VM: hello.GetVm(), Zone: hello.GetAvailabilityZone(), Incarnation: incarnation}, nil
 }
 
-// OpenStream opens a stream. The peer's handlers do not see it before its first
-// frame arrives.
-func (s *Session) OpenStream(_ context.Context) (net.Conn, error) {
-	stream, err := s.mux.OpenStream()
-	if err != nil {
-		return nil, ErrUnreachable.Wrap(err, "open stream to %s", s.Peer.VM)
-	}
-	return s.streams.add(stream), nil
+// OpenStream opens a stream, or returns ErrUnreachable if ctx ends first. The peer's
+// handlers do not see the stream before its first frame arrives.
+func (s *Session) OpenStream(ctx context.Context) (net.Conn, error) {
+	opened := make(chan openResult, 1)
+	go func() {
+		stream, err := s.mux.OpenStream()
+		opened <- openResult{stream, err}
+	}()
+	select {
+	case result := <-opened:
+		if result.err != nil {
+			return nil, ErrUnreachable.Wrap(result.err, "open stream to %s", s.Peer.VM)
+		}
+		return s.streams.opened(result.stream), nil
+	case <-ctx.Done():
+		go func() {
+			if result := <-opened; result.err == nil {
+				_ = result.stream.Close()
+			}
+		}()
+		return nil, ErrUnreachable.Wrap(ctx.Err(), "open stream to %s", s.Peer.VM)
+	}
+}
+
+// openResult is what the multiplexer returned for a new stream.
+type openResult struct {
+	stream *yamux.Stream
+	err    error
 }
 
 // acceptStream waits for a stream that the peer opens.
@@ -167,7 +187,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return s.streams.add(stream), nil
+	return s.streams.accepted(stream), nil
 }
 
 // openControl opens a stream that carries no calls.
--- a/peer/session_end_test.go
+++ b/peer/session_end_test.go
@@ -62,7 +62,7 @@
 	assert.Check(t, err)
 	for err == nil {
 		var stream net.Conn
-		if stream, err = session.mux.AcceptStream(); err == nil {
+		if stream, err = session.acceptStream(); err == nil {
 			go func() { _, _ = io.Copy(io.Discard, stream) }()
 		}
 	}
