Trust a refusal on a kept connection only if it can answer this request

Callers were told 'not run' for requests that a server ran, or such a request ran at a second server.

Cause, here: the mark 'not run' was read before the attempt ID. A repeated refusal without an ID passed for one of the next request; and one that names its attempt passed for it when that attempt was sent again over the same connection, as it is after another server refused it.

Change: a refusal counts as 'not run' only if it names the call's attempt, or is the first answer on its connection. A connection keeps the attempts that were refused on it until their deadlines, 64 at most, and does not carry them again.

--- a/backend/client.go
+++ b/backend/client.go
@@ -58,7 +58,7 @@
 	if !ok || announced.Service != call.Service {
 		return nil, request.Refuse(request.CauseNoBackend, request.NotRun, 0)
 	}
-	conn, err := c.connections.get(ctx, announced.Address, c.idleTimeout(call))
+	conn, err := c.connections.get(ctx, announced.Address, c.idleTimeout(call), call.AttemptID)
 	if err != nil {
 		return nil, refusalOf(ctx, request.CauseNoBackend, request.NotRun)
 	}
@@ -85,7 +85,7 @@
 		err = errFailedAfterDeadline
 	}
 	if err != nil {
-		e.finish(errors.Is(err, errNotExecuted) && e.namesAttempt(call) && e.drainBody())
+		e.finish(errors.Is(err, errNotExecuted) && e.namesAttempt(call) && conn.addRefused(call) && e.drainBody())
 		return nil, e.refusalFor(ctx, err)
 	}
 	return answer, nil
--- a/backend/connections.go
+++ b/backend/connections.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -10,6 +11,7 @@
 	"time"
 
 	"auburngap/httpconn"
+	"auburngap/request"
 )
 
 const (
@@ -19,6 +21,8 @@
 	defaultIdleTimeout = 30 * time.Second
 	// connBufferBytes is the size of a connection's buffers.
 	connBufferBytes = 4 << 10
+	// maxRefusedAttempts bounds the attempts that a connection keeps in mind.
+	maxRefusedAttempts = 64
 )
 
 // connection is a connection to the backend server.
@@ -27,6 +31,33 @@
 	reader   *bufio.Reader
 	writer   *bufio.Writer
 	lastUsed time.Time
+	// reused is set once the connection has carried an earlier request.
+	reused bool
+	// refused holds the attempts that the server has refused on this connection, with
+	// their deadlines. A faulty server may repeat such a refusal later.
+	refused map[string]time.Time
+}
+
+// addRefused records that the server has refused a call on this connection. It returns
+// false if the connection must not be used again.
+func (c *connection) addRefused(call *request.Call) bool {
+	now := time.Now()
+	maps.DeleteFunc(c.refused, func(_ string, deadline time.Time) bool { return deadline.Before(now) })
+	if len(c.refused) >= maxRefusedAttempts {
+		return false
+	}
+	if c.refused == nil {
+		c.refused = make(map[string]time.Time)
+	}
+	c.refused[call.AttemptID] = call.Context.Deadline
+	return true
+}
+
+// mayCarry reports whether a refusal that names the attempt could only answer a request
+// that is yet to be sent on this connection.
+func (c *connection) mayCarry(attemptID string) bool {
+	_, refused := c.refused[attemptID]
+	return !refused
 }
 
 // connections is a pool of the idle connections to one backend server. The most
@@ -40,10 +71,11 @@
 	idle    []*connection
 }
 
-// get returns a connection that has been idle for less than idleTimeout, or a
-// new one.
-func (p *connections) get(ctx context.Context, address netip.AddrPort, idleTimeout time.Duration) (*connection, error) {
-	if c := p.takeIdle(address, idleTimeout); c != nil {
+// get returns a connection that has been idle for less than idleTimeout and may carry
+// the attempt, or a new one.
+func (p *connections) get(ctx context.Context, address netip.AddrPort, idleTimeout time.Duration, attemptID string) (*connection, error) {
+	if c := p.takeIdle(address, idleTimeout, attemptID); c != nil {
+		c.reused = true
 		return c, nil
 	}
 	dialer := net.Dialer{Timeout: connectTimeout}
@@ -59,20 +91,22 @@
 	}, nil
 }
 
-func (p *connections) takeIdle(address netip.AddrPort, idleTimeout time.Duration) *connection {
+func (p *connections) takeIdle(address netip.AddrPort, idleTimeout time.Duration, attemptID string) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.address != address {
 		p.closeIdle()
 		p.address = address
 	}
-	for len(p.idle) > 0 {
-		last := len(p.idle) - 1
-		c := p.idle[last]
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
 		if time.Since(c.lastUsed) >= idleTimeout {
 			return nil // the others have been idle for longer
 		}
-		p.idle = p.idle[:last]
+		if !c.mayCarry(attemptID) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
 		// The server may have closed the connection in the meantime.
 		if c.conn.IsIdle() {
 			return c
--- a/backend/dialect.go
+++ b/backend/dialect.go
@@ -49,10 +49,11 @@
 		return nil, err
 	}
 	d := e.client.config.Dialect
-	if err := e.notRunError(); err != nil {
+	err = e.notRunError()
+	if err != nil && e.mustAnswer(call) {
 		return nil, err
 	}
-	if !e.namesAttempt(call) {
+	if err != nil || !e.namesAttempt(call) {
 		return nil, errNoAttemptID
 	}
 	answer.Headers = d.ResponseHeaders(answer.Headers)
@@ -88,6 +89,14 @@
 	return call.AttemptID == "" || bytes.Equal(e.attemptID(), []byte(call.AttemptID))
 }
 
+// mustAnswer reports whether the answer can only be one to the call: it names the call's
+// attempt, or is the first on its connection. One without an ID on a kept connection may be
+// an earlier one that the server has repeated.
+func (e *exchange) mustAnswer(call *request.Call) bool {
+	named := call.AttemptID != "" && e.namesAttempt(call)
+	return named || !e.conn.reused && !e.receivedOther
+}
+
 // namesOtherAttempt reports whether the answer carries another attempt ID.
 func (e *exchange) namesOtherAttempt(call *request.Call) bool {
 	return len(e.attemptID()) > 0 && !e.namesAttempt(call)
