Skip odd entries among those of the nodes

What callers saw (report of another operator): another writer left one odd entry among those of the backend servers, and the nodes that read the list ended again and again.

Cause, here: slots of up to 2^63 - 1 were taken. The sum of the slots of a service overflowed and the draw of a server panicked, at every node with a request for that service, again after each start. Besides, an entry of any VM could stand under any key, an error quoted the entry in full into the log, once for each writing, and a huge entry was passed on to every node within a reply that must not be larger than 2 MB.

Change: an entry names a node only if its VM is that of its key, its names are short, its port is not 0, its slots are from 0 to 65,536 and it has 4 KB at most. Others are skipped, with one line (key and at most 160 bytes of the cause) until the key is removed or valid, and kept only in their first 4 KB. Weights of a draw are bounded by themselves too.

--- a/node/hosted_roster.go
+++ b/node/hosted_roster.go
@@ -87,8 +87,8 @@
 		zap.Int("routes", len(decoded.Routes)), zap.Int("workspaces", len(decoded.Workspaces)))
 }
 
-func (h *Hosted) logMalformed(err error) {
-	h.logger.Warn("roster: entry names no node", zap.String("error", err.Error()))
+func (h *Hosted) logMalformed(key string, err error) {
+	h.logger.Warn("roster: entry names no node", zap.String("key", key), zap.String("error", err.Error()))
 }
 
 // targetsByService returns the backend servers of each service.
--- a/roster/follower.go
+++ b/roster/follower.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
-	"strings"
 	"sync"
 	"time"
 
@@ -52,9 +51,9 @@
 	MemberPrefix string
 	// OnChange is called with the view after each change. Calls do not overlap.
 	OnChange func(View)
-	// OnMalformed is called with the error of an entry that describes no valid node,
-	// once for each distinct error.
-	OnMalformed func(error)
+	// OnMalformed is called with the key of an entry that describes no valid node and the
+	// error, once until the key is removed or its entry is valid.
+	OnMalformed func(key string, err error)
 	Logger      *zap.Logger
 	// Now is the clock; nil means the time since boot.
 	Now func() time.Duration
@@ -103,7 +102,7 @@
 	lastRead lastRead
 	// changed is closed at the next change.
 	changed chan struct{}
-	// malformed holds the errors that OnMalformed was called with.
+	// malformed holds the keys that OnMalformed was called with.
 	malformed map[string]bool
 }
 
@@ -122,7 +121,7 @@
 	}
 	return &Follower{
 		config:    config,
-		mirror:    NewMirror(),
+		mirror:    NewMirror(config.MemberPrefix),
 		sources:   NewSourceSelector(config.VM, config.Zone),
 		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		readEnded: make(chan struct{}, 1),
@@ -352,16 +351,9 @@
 	if expired := f.mirror.Expire(f.config.Now()); !expired && !changed {
 		return
 	}
-	members, malformed := f.mirror.Members(func(key string) bool {
-		return strings.HasPrefix(key, f.config.MemberPrefix)
-	})
+	members, malformed := f.mirror.Members()
 	f.members = members
-	for _, err := range malformed {
-		if !f.malformed[err.Error()] {
-			f.malformed[err.Error()] = true
-			f.config.OnMalformed(err)
-		}
-	}
+	f.reportMalformed(malformed)
 	f.config.OnChange(View{
 		Mirror:         f.mirror,
 		Members:        f.members,
@@ -370,6 +362,19 @@
 	})
 }
 
+// reportMalformed calls OnMalformed for the entries that were not malformed before. The
+// caller must hold the lock.
+func (f *Follower) reportMalformed(entries []malformedEntry) {
+	before := f.malformed
+	f.malformed = make(map[string]bool, len(entries))
+	for _, entry := range entries {
+		f.malformed[entry.key] = true
+		if !before[entry.key] {
+			f.config.OnMalformed(entry.key, entry.err)
+		}
+	}
+}
+
 func (f *Follower) handleFailure(read *sourceRead, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/roster/follower_test.go
+++ b/roster/follower_test.go
@@ -85,7 +85,7 @@
 			MemberPrefix:     "online/",
 			SuspectReadAfter: 1250 * time.Millisecond,
 			OnChange:         func(View) {},
-			OnMalformed:      func(err error) { t.Error(err) },
+			OnMalformed:      func(key string, err error) { t.Error(key, err) },
 			Logger:           zap.NewNop(),
 		})
 	}
--- a/roster/member.go
+++ b/roster/member.go
@@ -66,15 +66,45 @@
 	WarmAt time.Time `json:"warmAt,omitzero"`
 }
 
-// decodeMember decodes the node that an entry describes. It returns ErrInvalidMember for an
-// invalid entry.
-func decodeMember(entry kv.Entry) (Member, error) {
+// Bounds of what an entry may say. Another writer may have left anything.
+const (
+	maxMemberBytes = 4 << 10
+	maxNameBytes   = 256
+	maxSlots       = 1 << 16
+	// maxDetailBytes bounds what an error quotes of an entry.
+	maxDetailBytes = 160
+)
+
+// decodeMember decodes the node that an entry describes. It returns ErrInvalidMember, with
+// a short text, for an invalid entry.
+func decodeMember(prefix string, entry kv.Entry) (Member, error) {
+	if len(entry.Value) > maxMemberBytes {
+		return Member{}, ErrInvalidMember.New("more than %d bytes", maxMemberBytes)
+	}
 	var member Member
 	if err := json.Unmarshal(entry.Value, &member); err != nil {
-		return Member{}, ErrInvalidMember.Wrap(err, "entry %s", entry.Key)
+		text := err.Error()
+		return Member{}, ErrInvalidMember.New("%q", text[:min(len(text), maxDetailBytes)])
 	}
-	if member.VM == "" || !member.Address.IsValid() {
-		return Member{}, ErrInvalidMember.New("entry %s has no VM or no address", entry.Key)
+	if prefix+member.VM != entry.Key {
+		return Member{}, ErrInvalidMember.New("its VM is not that of its key")
+	}
+	return member, member.check()
+}
+
+// check returns ErrInvalidMember if a field is out of range.
+func (m *Member) check() error {
+	switch {
+	case m.VM == "" || len(m.VM) > maxNameBytes || len(m.Zone) > maxNameBytes || len(m.Incarnation) > maxNameBytes:
+		return ErrInvalidMember.New("a name is missing or has more than %d bytes", maxNameBytes)
+	case !m.Address.IsValid() || m.Address.Port() == 0:
+		return ErrInvalidMember.New("no address")
+	case m.Backend == nil:
+		return nil
+	case m.Backend.Service == "" || len(m.Backend.Service) > maxNameBytes || len(m.Backend.Instance) > maxNameBytes:
+		return ErrInvalidMember.New("a name of the backend server is missing or has more than %d bytes", maxNameBytes)
+	case m.Backend.Slots < 0 || m.Backend.Slots > maxSlots:
+		return ErrInvalidMember.New("slots are not from 0 to %d", maxSlots)
 	}
-	return member, nil
+	return nil
 }
--- a/roster/mirror.go
+++ b/roster/mirror.go
@@ -1,8 +1,10 @@
 package roster
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"auburngap/kv"
@@ -28,8 +30,10 @@
 // Mirror is a local copy of the entries in the key-value service. It is not safe
 // for concurrent use.
 type Mirror struct {
-	revision kv.Revision
-	entries  map[string]kv.Entry
+	// memberPrefix begins the keys of the nodes' entries.
+	memberPrefix string
+	revision     kv.Revision
+	entries      map[string]kv.Entry
 	// tombstones holds the latest removals, oldest first.
 	tombstones []kv.Entry
 	// tombstoneFloor is the revision up to which tombstones may have been dropped.
@@ -52,12 +56,14 @@
 	err      error
 }
 
-// NewMirror returns an empty mirror.
-func NewMirror() *Mirror {
+// NewMirror returns an empty mirror. The keys of the nodes' entries begin with
+// memberPrefix.
+func NewMirror(memberPrefix string) *Mirror {
 	return &Mirror{
-		entries: make(map[string]kv.Entry),
-		decoded: make(map[string]decodedMember),
-		lapsed:  make(map[string]lapsedMember),
+		memberPrefix: memberPrefix,
+		entries:      make(map[string]kv.Entry),
+		decoded:      make(map[string]decodedMember),
+		lapsed:       make(map[string]lapsedMember),
 	}
 }
 
@@ -99,11 +105,17 @@
 	if m.isRemovedAfter(entry) {
 		return false
 	}
+	if m.isMember(entry.Key) && len(entry.Value) > maxMemberBytes {
+		// It describes no valid node; its first bytes still tell that.
+		entry.Value = bytes.Clone(entry.Value[:maxMemberBytes+1])
+	}
 	m.entries[entry.Key] = entry
 	delete(m.lapsed, entry.Key)
 	return true
 }
 
+func (m *Mirror) isMember(key string) bool { return strings.HasPrefix(key, m.memberPrefix) }
+
 // isRemovedAfter reports whether the key of an entry was removed after the entry was
 // written.
 func (m *Mirror) isRemovedAfter(entry kv.Entry) bool {
@@ -172,17 +184,22 @@
 	return len(m.lapsed) != before
 }
 
-// Members returns the nodes in the order of their VMs, and the errors of the entries
-// that describe no valid node. Nodes whose entries were removed are included until
-// they expire.
-func (m *Mirror) Members(isMember func(key string) bool) (members []Member, malformed []error) {
+// malformedEntry is an entry that describes no valid node.
+type malformedEntry struct {
+	key string
+	err error
+}
+
+// Members returns the nodes in the order of their VMs, and the entries that describe no
+// valid node. Nodes whose entries were removed are included until they expire.
+func (m *Mirror) Members() (members []Member, malformed []malformedEntry) {
 	add := func(entry kv.Entry) {
-		if !isMember(entry.Key) {
+		if !m.isMember(entry.Key) {
 			return
 		}
 		decoded := m.decode(entry)
 		if decoded.err != nil {
-			malformed = append(malformed, decoded.err)
+			malformed = append(malformed, malformedEntry{entry.Key, decoded.err})
 			return
 		}
 		members = append(members, decoded.member)
@@ -203,7 +220,7 @@
 	if known, ok := m.decoded[entry.Key]; ok && known.revision == entry.Revision {
 		return known
 	}
-	member, err := decodeMember(entry)
+	member, err := decodeMember(m.memberPrefix, entry)
 	m.decoded[entry.Key] = decodedMember{revision: entry.Revision, member: member, err: err}
 	return m.decoded[entry.Key]
 }
--- a/roster/mirror_test.go
+++ b/roster/mirror_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -25,8 +26,6 @@
 	return kv.Entry{Key: key, Revision: revision, Deleted: true}
 }
 
-func isMember(key string) bool { return strings.HasPrefix(key, "online/") }
-
 // TestMirrorIgnoresOlderEntries applies random, overlapping sections of one history of
 // changes, as sources return them whose views are more or less up to date.
 func TestMirrorIgnoresOlderEntries(t *testing.T) {
@@ -43,7 +42,7 @@
 			history = append(history, change)
 			latest[key] = change
 		}
-		mirror, source := NewMirror(), NewMirror()
+		mirror, source := NewMirror("online/"), NewMirror("online/")
 		at := 0
 		for at < len(history) {
 			next := min(len(history), at+1+random.IntN(6))
@@ -70,30 +69,35 @@
 // TestLapsedMembersStayListed removes all entries, as after an outage of the
 // service: nodes stay listed until they have had time to publish themselves again.
 func TestLapsedMembersStayListed(t *testing.T) {
-	mirror := NewMirror()
+	mirror := NewMirror("online/")
 	mirror.Apply(0, Delta{Whole: true, Revision: 2, Entries: []kv.Entry{entry("online/a", 1), entry("online/b", 2)}})
 	mirror.Apply(time.Second, Delta{Whole: true, Revision: 9})
 	assert.Assert(t, !mirror.Expire(time.Second+lapsedMemberTTL/2))
-	members, _ := mirror.Members(isMember)
+	members, _ := mirror.Members()
 	assert.Equal(t, len(members), 2)
 	mirror.Apply(time.Second+lapsedMemberTTL/2, Delta{Revision: 10, Entries: []kv.Entry{entry("online/b", 10)}})
 	assert.Assert(t, mirror.Expire(time.Second+lapsedMemberTTL))
-	members, _ = mirror.Members(isMember)
+	members, _ = mirror.Members()
 	assert.Equal(t, len(members), 1)
 	assert.Equal(t, members[0].Incarnation, "10")
 }
 
 func TestMalformedEntriesAreNotMembers(t *testing.T) {
-	mirror := NewMirror()
+	mirror := NewMirror("online/")
 	mirror.Apply(0, Delta{Whole: true, Revision: 9, Entries: []kv.Entry{
 		entry("online/a", 1),
 		{Key: "online/b", Value: []byte("{"), Revision: 2},
 		{Key: "online/c", Value: []byte(`{"vm":"c"}`), Revision: 3},
 		{Key: "other", Value: []byte("{}"), Revision: 4},
+		{Key: "online/huge", Value: bytes.Repeat([]byte("9"), 1<<20), Revision: 5},
+		{Key: "online/d", Value: entry("online/a", 6).Value, Revision: 6},
 	}})
-	members, malformed := mirror.Members(isMember)
+	members, malformed := mirror.Members()
 	assert.Equal(t, len(members), 1)
-	assert.Equal(t, len(malformed), 2)
+	assert.Equal(t, len(malformed), 4)
+	for _, entry := range mirror.Since(0).Entries {
+		assert.Assert(t, len(entry.Value) <= maxMemberBytes+1, "%s is kept with %d bytes", entry.Key, len(entry.Value))
+	}
 }
 
 // TestSources makes sources fail one after the other.
@@ -165,7 +169,7 @@
 		MemberPrefix:     "online/",
 		SuspectReadAfter: 300 * time.Millisecond,
 		OnChange:         func(View) {},
-		OnMalformed:      func(error) {},
+		OnMalformed:      func(string, error) {},
 		Logger:           zap.NewNop(),
 	})
 	go func() { _ = follower.Run(t.Context()) }()
@@ -185,9 +189,11 @@
 func FuzzDecodeMember(f *testing.F) {
 	f.Add(entry("online/a", 1).Value)
 	f.Fuzz(func(t *testing.T, value []byte) {
-		member, err := decodeMember(kv.Entry{Key: "online/a", Value: value})
+		member, err := decodeMember("online/", kv.Entry{Key: "online/a", Value: value})
 		if err == nil {
-			assert.Assert(t, member.Address.IsValid())
+			assert.Assert(t, member.Address.IsValid() && member.VM == "a")
+			return
 		}
+		assert.Assert(t, len(err.Error()) < 1<<10, "an error of %d bytes", len(err.Error()))
 	})
 }
--- a/roster/propagation_test.go
+++ b/roster/propagation_test.go
@@ -164,7 +164,7 @@
 			MemberPrefix:     "online/",
 			SuspectReadAfter: watchWait + 300*time.Millisecond,
 			OnChange:         func(View) {},
-			OnMalformed:      func(err error) { t.Error(err) },
+			OnMalformed:      func(key string, err error) { t.Error(key, err) },
 			Logger:           zap.NewNop(),
 			Now:              func() time.Duration { return time.Since(start) },
 		}))
--- a/route/group.go
+++ b/route/group.go
@@ -19,11 +19,14 @@
 	cumulativeSlots []int
 }
 
+// maxWeight bounds the weight of a server, so that the sum of all weights does not overflow.
+const maxWeight = 1 << 20
+
 func newGroup(servers []*server) group {
 	g := group{servers: servers, cumulativeSlots: make([]int, 0, len(servers))}
 	total := 0
 	for _, s := range servers {
-		total += max(1, s.target.Slots)
+		total += min(max(1, s.target.Slots), maxWeight)
 		g.cumulativeSlots = append(g.cumulativeSlots, total)
 	}
 	return g
