Answer with a refusal without waiting for its body

What a test showed here: heads without end, chunk sizes, trailers, interim answers and bytes that are no answer were given up at once and took no memory; answers with an endless body are passed on with bounded memory and cut at the call's deadline. But a refusal, 'not run', waited for its body: one that came slowly or without end held the refusal until the call's deadline.

Cause: the body's beginning was read together with the head, and its rest before the refusal was returned, so that the connection could be kept.

Change: a refusal is known from its head alone. Its body is read for 50 ms at most, up to 64 KB; then the connection is closed.

Evidence: TestEndlessBytes, real connections, 22 cases (outcome, time, memory, connection closed). Before: the three slow refusals ended only after 0.70 s, their deadline; after: all pass.

--- a/backend/client.go
+++ b/backend/client.go
@@ -85,7 +85,7 @@
 		err = errFailedAfterDeadline
 	}
 	if err != nil {
-		e.finish(errors.Is(err, errNotExecuted) && e.namesAttempt(call) && conn.addRefused(call) && e.drainBody())
+		e.finish(errors.Is(err, errNotExecuted) && e.namesAttempt(call) && conn.addRefused(call) && e.drainBody(call))
 		return nil, e.refusalFor(ctx, err)
 	}
 	return answer, nil
@@ -179,12 +179,26 @@
 	return strconv.FormatInt(max(time.Until(call.Context.Deadline).Milliseconds(), 1), 10)
 }
 
+// receive reads the next answer. The body of a refusal is left unread, as the refusal does
+// not have to wait for it.
 func (e *exchange) receive(call *request.Call) error {
 	response := fasthttp.AcquireResponse()
 	e.response = response
 	response.StreamBody = true
-	response.SkipBody = call.Method == fasthttp.MethodHead
-	return response.ReadLimitBody(e.conn.reader, 0)
+	response.SkipBody = true
+	if err := response.ReadLimitBody(e.conn.reader, 0); err != nil {
+		return err
+	}
+	if call.Method == fasthttp.MethodHead || isBodyless(response.StatusCode()) || e.isRefusal(call) {
+		return nil
+	}
+	response.SkipBody = false
+	return response.ReadBody(e.conn.reader, 0)
+}
+
+// isBodyless reports whether answers of a status have no body.
+func isBodyless(status int) bool {
+	return status < http.StatusOK || status == http.StatusNoContent || status == http.StatusNotModified
 }
 
 func (e *exchange) answer(call *request.Call) *request.Answer {
--- a/backend/dialect.go
+++ b/backend/dialect.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -13,9 +14,16 @@
 	"auburngap/request"
 )
 
-// maxOtherAnswers is the maximum number of answers to other requests that are
-// skipped before the expected one.
-const maxOtherAnswers = 4
+const (
+	// maxOtherAnswers is the maximum number of answers to other requests that are
+	// skipped before the expected one.
+	maxOtherAnswers = 4
+	// chunkedLength is what fasthttp returns as the length of a body in chunks.
+	chunkedLength = -1
+	// maxDrainTime bounds how long a refusal waits for its body, so that the connection can
+	// be kept.
+	maxDrainTime = 50 * time.Millisecond
+)
 
 var (
 	errTooManyOtherAnswers = errors.New("too many answers to other requests")
@@ -49,11 +57,10 @@
 		return nil, err
 	}
 	d := e.client.config.Dialect
-	err = e.notRunError()
-	if err != nil && e.mustAnswer(call) {
-		return nil, err
+	if e.isRefusal(call) {
+		return nil, e.notRunError()
 	}
-	if err != nil || !e.namesAttempt(call) {
+	if e.notRunError() != nil || !e.namesAttempt(call) {
 		return nil, errNoAttemptID
 	}
 	answer.Headers = d.ResponseHeaders(answer.Headers)
@@ -89,6 +96,11 @@
 	return call.AttemptID == "" || bytes.Equal(e.attemptID(), []byte(call.AttemptID))
 }
 
+// isRefusal reports whether the answer says that the call did not run.
+func (e *exchange) isRefusal(call *request.Call) bool {
+	return e.client.config.Dialect != nil && e.notRunError() != nil && e.mustAnswer(call)
+}
+
 // mustAnswer reports whether the answer can only be one to the call: it names the call's
 // attempt, or is the first on its connection. One without an ID on a kept connection may be
 // an earlier one that the server has repeated.
@@ -137,11 +149,28 @@
 	return answer, nil
 }
 
-// drainBody reads the rest of a small answer that is not passed on, and reports
-// whether it reached the end.
-func (e *exchange) drainBody() bool {
-	_, err := io.CopyN(io.Discard, e, request.MaxBufferedBodyBytes)
-	return err == io.EOF
+// drainBody reads the body of a small refusal, and reports whether it reached the end.
+func (e *exchange) drainBody(call *request.Call) bool {
+	response := e.response
+	if response.ConnectionClose() {
+		return false
+	}
+	if call.Method == fasthttp.MethodHead || isBodyless(response.StatusCode()) {
+		return true
+	}
+	if err := e.conn.conn.SetReadDeadline(time.Now().Add(maxDrainTime)); err != nil {
+		return false
+	}
+	response.StreamBody, response.SkipBody = false, false
+	if err := response.ReadBody(e.conn.reader, request.MaxBufferedBodyBytes); err != nil {
+		return false
+	}
+	if response.Header.ContentLength() == chunkedLength {
+		if err := response.Header.ReadTrailer(e.conn.reader); err != nil {
+			return false
+		}
+	}
+	return e.conn.conn.SetReadDeadline(time.Time{}) == nil
 }
 
 // refusalFor returns the refusal of a call for an error of checkAnswer or run.
