--- a/directory/slot.go
+++ b/directory/slot.go
@@ -57,7 +57,12 @@
 		return Relay{}, false
 	}
 	relay.VM, relay.Address = value.VM, value.Address
-	return relay, true
+	return relay, value.isRelay()
+}
+
+// isRelay reports whether the value names a VM and an address that can be dialled.
+func (v *slotValue) isRelay() bool {
+	return v.VM != "" && v.Address.IsValid() && v.Address.Port() != 0
 }
 
 // listRelays reads a zone's relays from the platform and merges them into the
