Fail a write on a stream whose deadline has passed

Found by reading the change: a write that follows one that had ended by its deadline could take the late result of that one for its own. TestWritesFailAfterDeadline failed before. The cancel of a call closes its stream, which now ends its reads and writes too.

--- a/peer/blocked_test.go
+++ b/peer/blocked_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"auburngap/peer/peerpb"
+	"auburngap/request"
 )
 
 const (
@@ -89,3 +90,19 @@
 		})
 	}
 }
+
+// TestWritesFailAfterDeadline: a write after one that had ended by its deadline took the
+// result of the earlier one for its own.
+func TestWritesFailAfterDeadline(t *testing.T) {
+	pool := newPool(t, nil)
+	stream, err := pool.OpenStream(t.Context(), startServer(t, request.HandlerFunc(echo), nil))
+	assert.NilError(t, err)
+	_, err = stream.Write([]byte("mug"))
+	assert.NilError(t, err)
+	assert.NilError(t, stream.SetWriteDeadline(pastDeadline))
+	for range 100 {
+		_, err = stream.Write([]byte("mug"))
+		assert.Assert(t, err != nil)
+	}
+	assert.NilError(t, stream.Close())
+}
--- a/peer/call_client.go
+++ b/peer/call_client.go
@@ -191,9 +191,8 @@
 	}
 }
 
+// cancel unblocks whatever uses the stream and notifies the peer.
 func (e *exchange) cancel() {
-	// The deadline unblocks a reader; closing the stream notifies the peer.
-	_ = e.stream.SetDeadline(pastDeadline)
 	_ = e.stream.Close()
 }
 
--- a/peer/muxstream.go
+++ b/peer/muxstream.go
@@ -52,6 +52,11 @@
 	if s.written == nil {
 		return s.Stream.Write(p)
 	}
+	select {
+	case <-s.ended:
+		return 0, yamux.ErrTimeout
+	default:
+	}
 	go s.write(append(getBuffer(), p...))
 	select {
 	case result := <-s.written:
