--- a/roster/follower_test.go
+++ b/roster/follower_test.go
@@ -183,3 +183,47 @@
 		})
 	}
 }
+
+// unresponsiveClient answers List. A Watch gets no answer until its context ends.
+type unresponsiveClient struct {
+	kv.Client
+	entries []kv.Entry
+}
+
+func (c *unresponsiveClient) List(context.Context, string) ([]kv.Entry, kv.Revision, error) {
+	return c.entries, 1, nil
+}
+
+func (c *unresponsiveClient) Watch(ctx context.Context, _ string, _ kv.Revision) ([]kv.Entry, kv.Revision, error) {
+	<-ctx.Done()
+	return nil, 0, kv.ErrUnavailable.Wrap(ctx.Err(), "watch")
+}
+
+// TestUnresponsiveServiceIsSuspect has a service that stops answering a reader without an
+// error. The reader must report its view as suspect as soon as its read is overdue,
+// long before the read fails.
+func TestUnresponsiveServiceIsSuspect(t *testing.T) {
+	follower := NewFollower(FollowerConfig{
+		Client:           &unresponsiveClient{entries: []kv.Entry{entry("online/a", 1)}},
+		VM:               "a",
+		Zone:             "z",
+		Prefix:           "o",
+		MemberPrefix:     "online/",
+		SuspectReadAfter: 300 * time.Millisecond,
+		OnChange:         func(View) {},
+		OnMalformed:      func(string, error) {},
+		Logger:           zap.NewNop(),
+	})
+	go func() { _ = follower.Run(t.Context()) }()
+	query := func() *peerpb.RosterReply {
+		return follower.Answer(t.Context(), &peerpb.RosterQuery{WaitMicros: 1})
+	}
+	for query().GetRevision() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	readAt := time.Now()
+	for !query().GetInDoubt() {
+		assert.Assert(t, time.Since(readAt) < time.Second, "an outdated view is not reported as suspect")
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/roster/sourceselector_test.go
+++ b/roster/sourceselector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -48,3 +49,45 @@
 	_, ok = s.Next(0, members, true, random)
 	assert.Assert(t, !ok, "two reads of the service at a time")
 }
+
+// TestSources makes sources fail one after the other.
+func TestSources(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	member := func(vm, zone string, port uint16) Member {
+		return Member{VM: vm, Zone: zone, Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), port)}
+	}
+	members := []Member{member("a", "near", 1), member("b", "near", 2), member("c", "near", 3), member("d", "far", 4)}
+	service := Source{}
+	next := func(s *SourceSelector, now time.Duration, members []Member) Source {
+		source, ok := s.Next(now, members, false, random)
+		assert.Assert(t, ok)
+		return source
+	}
+	node := func(i int) Source { return Source{Node: members[i].Address} }
+
+	reader := NewSourceSelector("a", "near")
+	assert.Equal(t, next(reader, 0, nil), service)
+	assert.Equal(t, next(reader, 0, members), service)
+	reader.Failed(0, service)
+	assert.Equal(t, next(reader, 0, members), node(1))
+	assert.Equal(t, next(reader, minSourceBackoff, members), service)
+
+	other := NewSourceSelector("c", "near")
+	first := next(other, 0, members)
+	second := next(other, 0, members)
+	assert.Assert(t, first != second, "the readers take turns")
+	assert.Assert(t, (first == node(0) || first == node(1)) && (second == node(0) || second == node(1)))
+	other.Failed(0, first)
+	assert.Equal(t, next(other, 0, members), second)
+	assert.Equal(t, next(other, 0, members), second)
+	other.Failed(0, second)
+	assert.Equal(t, next(other, 0, members), service)
+	other.Failed(0, service)
+	assert.Equal(t, next(other, 0, members), node(3))
+	other.Succeeded(first)
+	assert.Equal(t, next(other, 0, members), first)
+	other.Failed(0, first)
+	other.Failed(0, node(3))
+	_, ok := other.Next(0, members, false, random)
+	assert.Assert(t, !ok, "a source is returned although all sources have just failed")
+}
