Answer pipelined requests that have begun before a draining connection closes

Cause: the first answer after SIGTERM closed its connection, although requests behind it had begun before their turn and had been passed on. Closing cancelled them: 63 refusals 'cancelled' at the draining nodes, and their targets' work broken off.

Change: a draining connection closes once no request behind the answer has begun. Requests that arrive meanwhile begin as before; StopPipelining ends that when the node accepts no more.

--- a/caller/admit.go
+++ b/caller/admit.go
@@ -32,8 +32,7 @@
 func (s *Server) admit(ctx *fasthttp.RequestCtx, now time.Time) (*request.Call, *request.Refusal) {
 	call := &request.Call{}
 	index := s.config.Bundle()
-	if index == nil || (s.config.Ready != nil && !s.config.Ready()) {
-		ctx.SetConnectionClose()
+	if index == nil || !s.isReady() {
 		return call, request.Refuse(request.CauseStarting, request.NotRun, time.Second)
 	}
 	call.Context.BundleVersion = index.Bundle.Version
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -62,7 +62,7 @@
 	// Dialect replaces this project's own headers; nil keeps them.
 	Dialect *httpconn.Dialect
 	// AttributeCall returns the handler of a request without a key, which the backend
-	// server of this VM may have made; nil treats them as any other.
+	// server of this VM may have made; nil treats it as any other.
 	AttributeCall func(*request.Call) request.Handler
 	// Service is the service of this VM's backend server. It is sent on as
 	// the caller of each request; empty means that none is sent.
@@ -75,14 +75,23 @@
 	http   *fasthttp.Server
 	// draining asks callers to use another connection for further requests.
 	draining atomic.Bool
+	// inTurn lets no request begin before its turn.
+	inTurn atomic.Bool
+	// busy counts the connections with a request whose answer is not written yet.
+	busy atomic.Int64
+	// running ends when running requests are given up.
+	running context.Context
+	giveUp  context.CancelFunc
 }
 
 // New returns a server.
 func New(config Config) *Server {
 	s := &Server{config: config}
+	s.running, s.giveUp = context.WithCancel(context.Background())
 	s.http = httpconn.NewServer(httpconn.ServerConfig{
 		Handler:      s.handle,
 		OnBadRequest: s.badRequest,
+		Busy:         &s.busy,
 		Logger:       config.Logger,
 	})
 	return s
@@ -107,11 +116,24 @@
 }
 
 // Drain closes each connection after its next answer, so that callers leave before
-// Shutdown closes the idle connections.
+// Shutdown closes the idle connections. Pipelined requests that have begun before
+// their turn are answered first.
 func (s *Server) Drain() {
 	s.draining.Store(true)
 }
 
+// StopPipelining lets no further request begin before its turn, so that a draining
+// connection ends even if its caller goes on sending.
+func (s *Server) StopPipelining() {
+	s.inTurn.Store(true)
+}
+
+// Busy returns the number of connections with a request whose answer is not written yet.
+func (s *Server) Busy() int64 { return s.busy.Load() }
+
+// End ends the running requests. Each is answered with what is known of it.
+func (s *Server) End() { s.giveUp() }
+
 // Shutdown stops accepting connections, waits for running requests and closes idle
 // connections.
 func (s *Server) Shutdown(ctx context.Context) error {
@@ -129,11 +151,27 @@
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	s.answer(ctx)
-	if s.draining.Load() {
+	if s.isLeaving() && !hasStarted(ctx.Conn()) {
 		ctx.SetConnectionClose()
 	}
 }
 
+// isLeaving reports whether callers should use another node.
+func (s *Server) isLeaving() bool {
+	return s.draining.Load() || !s.isReady()
+}
+
+// isReady reports whether the node can serve the whole path.
+func (s *Server) isReady() bool {
+	return s.config.Bundle() != nil && (s.config.Ready == nil || s.config.Ready())
+}
+
+// hasStarted reports whether further requests of a connection run already.
+func hasStarted(conn net.Conn) bool {
+	c, ok := conn.(*httpconn.Conn)
+	return ok && c.HasStarted()
+}
+
 // answer answers the request whose turn it is. It may have begun before its turn.
 func (s *Server) answer(ctx *fasthttp.RequestCtx) {
 	if conn, ok := ctx.Conn().(*httpconn.Conn); ok {
@@ -142,7 +180,7 @@
 			return
 		}
 	}
-	s.serve(context.Background(), ctx)
+	s.serve(s.running, ctx)
 }
 
 // beginEarly runs a request before its turn on its connection if it may be retried:
@@ -150,7 +188,7 @@
 func (s *Server) beginEarly(head []byte) *httpconn.Early {
 	var in fasthttp.Request
 	index := s.config.Bundle()
-	if err := in.Read(bufio.NewReader(bytes.NewReader(head))); err != nil || index == nil {
+	if err := in.Read(bufio.NewReader(bytes.NewReader(head))); err != nil || index == nil || s.inTurn.Load() {
 		return nil // answered in its turn
 	}
 	ctx := &fasthttp.RequestCtx{}
@@ -159,7 +197,7 @@
 	if !ok || !route.Idempotent {
 		return nil
 	}
-	early := httpconn.NewEarly()
+	early := httpconn.NewEarly(s.running)
 	go func() {
 		s.serve(early.Context, ctx)
 		early.Finish(&ctx.Response)
--- a/httpconn/conn.go
+++ b/httpconn/conn.go
@@ -55,7 +55,9 @@
 	idle *idleConns
 	// betweenRequests is true until the first byte of a request was read.
 	betweenRequests bool
-	state           atomic.Int32
+	// busy is true while a request has no answer yet.
+	busy  bool
+	state atomic.Int32
 }
 
 // The states of a connection.
@@ -73,6 +75,20 @@
 	return &Conn{Conn: conn}
 }
 
+// setBusy sets whether a request has no answer yet, and counts the connection in busy,
+// which may be nil.
+func (c *Conn) setBusy(isBusy bool, busy *atomic.Int64) {
+	if busy == nil || c.busy == isBusy {
+		return
+	}
+	c.busy = isBusy
+	if isBusy {
+		busy.Add(1)
+	} else {
+		busy.Add(-1)
+	}
+}
+
 // Watch calls onClosed, from another goroutine, if the connection is closed before
 // Unwatch. The watch starts after watchDelay.
 func (c *Conn) Watch(onClosed func()) {
--- a/httpconn/pipeline.go
+++ b/httpconn/pipeline.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,9 +35,9 @@
 	done     chan struct{}
 }
 
-// NewEarly returns a running request.
-func NewEarly() *Early {
-	ctx, cancel := context.WithCancel(context.Background())
+// NewEarly returns a running request, whose context ends with parent.
+func NewEarly(parent context.Context) *Early {
+	ctx, cancel := context.WithCancel(parent)
 	return &Early{Context: ctx, cancel: cancel, done: make(chan struct{})}
 }
 
@@ -214,6 +215,16 @@
 	return early
 }
 
+// HasStarted reports whether a request that waits for its turn was started early.
+func (c *Conn) HasStarted() bool {
+	if c.pipeline == nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.ContainsFunc(c.pipeline.queue, func(request queuedRequest) bool { return request.early != nil })
+}
+
 // readPipelined reads bytes of a single request.
 func (c *Conn) readPipelined(to []byte) (int, error) {
 	for {
--- a/httpconn/pipeline_test.go
+++ b/httpconn/pipeline_test.go
@@ -68,7 +68,7 @@
 	}
 	ctx := &fasthttp.RequestCtx{}
 	ctx.Init(&in, nil, nil)
-	early := NewEarly()
+	early := NewEarly(context.Background())
 	go func() {
 		s.answer(early.Context, ctx, nil)
 		early.Finish(&ctx.Response)
--- a/httpconn/server.go
+++ b/httpconn/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -22,7 +23,10 @@
 	Handler fasthttp.RequestHandler
 	// OnBadRequest answers requests that cannot be read; nil uses fasthttp's answer.
 	OnBadRequest func(ctx *fasthttp.RequestCtx, err error)
-	Logger       *zap.Logger
+	// Busy counts the connections with a request whose answer is not written yet; it
+	// may be nil. Only connections of this package's listeners count.
+	Busy   *atomic.Int64
+	Logger *zap.Logger
 }
 
 // NewServer returns a server that streams bodies and sends no default Server and
@@ -41,14 +45,25 @@
 		MaxRequestBodySize:           maxBodyBytes,
 		ReadBufferSize:               maxHeadBytes,
 		CloseOnShutdown:              true,
-		ConnState:                    onConnState,
+		ConnState:                    func(conn net.Conn, state fasthttp.ConnState) { onConnState(conn, state, config.Busy) },
 		Logger:                       zap.NewStdLog(config.Logger.Named("http").WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
 }
 
-// onConnState marks a connection whose next read begins a request.
-func onConnState(conn net.Conn, state fasthttp.ConnState) {
-	if c, ok := conn.(*Conn); ok && state == fasthttp.StateIdle {
+// onConnState marks a connection whose next read begins a request, and counts the
+// busy connections. The goroutine that serves the connection calls it.
+func onConnState(conn net.Conn, state fasthttp.ConnState, busy *atomic.Int64) {
+	c, ok := conn.(*Conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case fasthttp.StateActive:
+		c.setBusy(true, busy)
+	case fasthttp.StateIdle:
 		c.betweenRequests = true
+		c.setBusy(c.HasStarted(), busy)
+	case fasthttp.StateClosed, fasthttp.StateHijacked:
+		c.setBusy(false, busy)
 	}
 }
