Pass on in a planned stop only what can end before it, and answer the rest

What callers saw: a request that arrived late in the grace was passed on and cut at its end without an answer, also one that must not be repeated. It had run or was running.

Cause: a stopping node accepted every request for 2.8 s, whatever time it might take, and closed the connections of those that still ran after the drain (5 s of a grace of 6).

Change: a stopping node accepts a request only if it can end before the drain does: one that is not idempotent by its deadline, an idempotent one by its objective. Others are refused before anything is sent, to be retried elsewhere after 50 ms. What still runs at the end is answered (502, or 'not run' where nothing was sent). Calls that requests of this VM's server make are accepted while it runs any. The drain waits for answers that are being written, not only made, and logs 'requests were cut' only where some were.

--- a/backend/lineage.go
+++ b/backend/lineage.go
@@ -30,13 +30,13 @@
 
 // AttributeCall attributes a call of the backend server to the running request that most
 // likely made it. It returns a handler that passes the call to next and applies the
-// call's report to that request, or next itself if no request is running.
-func (l *Lineage) AttributeCall(call *request.Call, next request.Handler) request.Handler {
+// call's report to that request, or next itself and false if no request is running.
+func (l *Lineage) AttributeCall(call *request.Call, next request.Handler) (handler request.Handler, attributed bool) {
 	l.mu.Lock()
 	run := l.tracker.Attribute(call.Context.Route, call.CallerDeadline)
 	l.mu.Unlock()
 	if run == nil {
-		return next
+		return next, false
 	}
 	live := run.Value.(*LiveCall)
 	original := call.Context
@@ -45,5 +45,5 @@
 	call.Context.Workspace = ""
 	call.Context.Route = original.Route
 	call.Context.Deadline = original.Deadline
-	return &budgetReturner{next: next, live: live, lent: live.Lend(time.Now())}
+	return &budgetReturner{next: next, live: live, lent: live.Lend(time.Now())}, true
 }
--- a/node/hosted.go
+++ b/node/hosted.go
@@ -105,10 +105,8 @@
 	boot          clock.Boot
 	// ready is closed once there is a configuration.
 	ready chan struct{}
-	// stopping is set once the node drains.
-	stopping atomic.Bool
-	// closing is set once a draining node accepts no more requests.
-	closing atomic.Bool
+	// draining is set once the node drains.
+	draining atomic.Pointer[drainState]
 	// inFlight counts the requests of callers that have no answer yet.
 	inFlight atomic.Int64
 	// backendMu serializes updates about the backend server; it guards leavingBackend
@@ -188,7 +186,7 @@
 
 // IsReady reports whether callers may send requests to this node.
 func (h *Hosted) IsReady() bool {
-	return h.index.Load() != nil && !h.stopping.Load()
+	return h.index.Load() != nil && h.draining.Load() == nil
 }
 
 // Logger returns the logger whose lines the node's metrics count.
--- a/node/hosted_drain.go
+++ b/node/hosted_drain.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"auburngap/clock"
+	"auburngap/request"
 )
 
 const (
@@ -19,6 +20,12 @@
 	minDrainTime = 2800 * time.Millisecond
 	// drainPoll is the time between two checks for calls that still run.
 	drainPoll = 20 * time.Millisecond
+	// lastAnswerTime bounds how long a stopping node writes the last answers, after the
+	// requests have ended.
+	lastAnswerTime = 250 * time.Millisecond
+	// drainRetryAfter is the delay after which a caller that a stopping node refuses
+	// should retry. Other nodes can serve it at once.
+	drainRetryAfter = 50 * time.Millisecond
 )
 
 // drainPhase is the phase of a stopping node.
@@ -35,9 +42,18 @@
 	drainClosing
 )
 
-// drainPhaseAt returns the phase of a node that began to stop elapsed ago.
-func drainPhaseAt(elapsed time.Duration) drainPhase {
-	switch {
+// drainState is the state of a stopping node.
+type drainState struct {
+	began time.Time
+	// end is when the requests that still run are given up.
+	end time.Time
+}
+
+// phaseAt returns the phase at a time.
+func (d drainState) phaseAt(now time.Time) drainPhase {
+	switch elapsed := now.Sub(d.began); {
+	case !now.Before(d.end):
+		return drainClosing
 	case elapsed < drainServeTime:
 		return drainServing
 	case elapsed < minDrainTime:
@@ -46,39 +62,89 @@
 	return drainClosing
 }
 
+// accepts reports whether a request that arrives now can end before the drain does. That
+// an idempotent request is given up is unlikely if it has its objective left, and its
+// caller can retry it; any other request is accepted only if its deadline comes first.
+func (d drainState) accepts(call *request.Call, now time.Time) bool {
+	if d.phaseAt(now) == drainClosing {
+		return false
+	}
+	latest := call.Context.Deadline
+	if call.Idempotent && call.Objective > 0 && now.Add(call.Objective).Before(latest) {
+		latest = now.Add(call.Objective)
+	}
+	return !latest.After(d.end)
+}
+
+// refuseLate refuses the requests that a stopping node might not answer in time, before
+// anything is sent.
+func (h *Hosted) refuseLate(next request.Handler) request.Handler {
+	return request.HandlerFunc(func(ctx context.Context, call *request.Call) (*request.Answer, error) {
+		if drain := h.draining.Load(); drain != nil && !drain.accepts(call, time.Now()) {
+			return nil, request.RefuseUnsent(call, request.CauseDraining, drainRetryAfter)
+		}
+		return next.Serve(ctx, call)
+	})
+}
+
 // drain stops accepting work in phases, waits for running calls, and closes idle
 // connections.
 func (h *Hosted) drain() {
 	began := time.Now()
 	h.logger.Info("node: draining", zap.Int64("requests", h.inFlight.Load()))
-	ctx, cancel := context.WithTimeout(context.Background(), h.limits.Load().DrainTime)
-	defer cancel()
-	h.stopping.Store(true)
+	state := drainState{began: began, end: began.Add(h.limits.Load().DrainTime)}
+	h.draining.Store(&state)
 	h.callers.Drain()
+	h.waitForCalls(state)
+	if cut := h.running(); cut > 0 {
+		h.logger.Warn("node: requests were cut", zap.Int64("requests", cut))
+	}
+	h.close()
+	h.logger.Info("node: drained", zap.Duration("after", time.Since(began)))
+}
+
+// waitForCalls returns once the node accepts no more requests and none runs, or when the
+// drain has to end.
+func (h *Hosted) waitForCalls(state drainState) {
+	ctx, cancel := context.WithDeadline(context.Background(), state.end)
+	defer cancel()
 	for clock.Sleep(ctx, drainPoll) {
-		phase := drainPhaseAt(time.Since(began))
+		phase := state.phaseAt(time.Now())
 		if phase >= drainLeaving && !h.local.leaving.Swap(true) {
 			h.local.guard.dropQueued()
 			h.announced.signal()
 		}
-		if phase < drainClosing {
+		if phase != drainClosing {
 			continue
 		}
-		// A request that arrives from here on might not end in time.
-		h.closing.Store(true)
-		if h.inFlight.Load() == 0 && h.peers.Running() == 0 {
-			break
+		h.callers.StopPipelining()
+		if h.running() == 0 {
+			return
 		}
 	}
+}
+
+// running returns the number of callers' connections that wait for an answer, and of
+// calls that run.
+func (h *Hosted) running() int64 {
+	return max(h.inFlight.Load(), h.callers.Busy()) + int64(h.peers.Running())
+}
+
+// close ends the requests that still run, so that each is answered, and closes all
+// connections.
+func (h *Hosted) close() {
+	h.callers.End()
+	answering, cancel := context.WithTimeout(context.Background(), lastAnswerTime)
+	defer cancel()
+	for h.callers.Busy() > 0 && clock.Sleep(answering, drainPoll) {
+	}
 	closing, cancelClosing := context.WithTimeout(context.Background(), drainPoll)
 	defer cancelClosing()
-	if err := h.callers.Shutdown(closing); err != nil {
-		h.logger.Warn("node: requests were cut", zap.Int64("requests", h.inFlight.Load()), zap.String("error", err.Error()))
-	}
+	// Connections that are still open then have no request, and end with the process.
+	_ = h.callers.Shutdown(closing)
 	h.pool.Close()
 	h.backendClient.Close()
 	if err := h.metrics.Close(); err != nil {
 		h.logger.Warn("node: metrics did not close", zap.String("error", err.Error()))
 	}
-	h.logger.Info("node: drained", zap.Duration("after", time.Since(began)))
 }
--- a/node/hosted_wire.go
+++ b/node/hosted_wire.go
@@ -154,11 +154,14 @@
 	entry := &entry{bundle: h.Index, rates: h.portions, gate: h.gate, next: h.router}
 	h.callers = caller.New(caller.Config{
 		Bundle: h.Index,
-		Ready:  func() bool { return h.Index() != nil && !h.closing.Load() },
 		Stale:  h.isStale,
-		Next:   h.countInFlight(entry),
+		Next:   h.countInFlight(h.refuseLate(entry)),
 		AttributeCall: func(call *request.Call) request.Handler {
-			return h.countInFlight(h.lineage.AttributeCall(call, h.router))
+			handler, attributed := h.lineage.AttributeCall(call, h.router)
+			if !attributed {
+				handler = h.refuseLate(handler)
+			}
+			return h.countInFlight(handler)
 		},
 		Record:      h.record,
 		Logger:      h.logger,
