Collect the parts of tokens that a workspace's owner nodes hold

Cause: up to six owner nodes share a workspace's burst, here 5 to 35 tokens, and lend whole tokens only. Each holds back a part of one: three tokens of twenty on average.

Change: one of the owners, the collector, moves parts of the others into its own tokens when it has no whole one and a node asks. A node asks its own zone's owner, then the collector, which knows for all nodes when the owners are exhausted; the others only if it can't help or more than one token is wanted. Tokens are subtracted before they are sent, as before, and the collector's stay within its portion of the burst, so that the bound holds.

--- a/node/portions.go
+++ b/node/portions.go
@@ -41,24 +41,31 @@
 	nodes   []portion.Node
 	// owners are the other owners of each workspace, those of the local zone first.
 	owners map[string][]netip.AddrPort
+	// collectors are the addresses of the owners that collect parts of tokens; invalid if
+	// that is this node.
+	collectors map[string]netip.AddrPort
 	// sizes holds the fraction of each workspace's rate that this node owns.
 	sizes      map[string]float64
 	borrowings map[string]*borrowing
 	pauses     map[string]borrowPause
+	// collections are those of the workspaces for which this node has collected.
+	collections map[string]*collection
 }
 
 func newPortions(config portion.Config, query roster.QueryFunc, vm, zone string, stale func() bool, logger *zap.Logger) *portions {
 	return &portions{
-		stale:      stale,
-		logger:     logger,
-		query:      query,
-		vm:         vm,
-		zone:       zone,
-		table:      portion.New(config),
-		owners:     make(map[string][]netip.AddrPort),
-		sizes:      make(map[string]float64),
-		borrowings: make(map[string]*borrowing),
-		pauses:     make(map[string]borrowPause),
+		stale:       stale,
+		logger:      logger,
+		query:       query,
+		vm:          vm,
+		zone:        zone,
+		table:       portion.New(config),
+		owners:      make(map[string][]netip.AddrPort),
+		collectors:  make(map[string]netip.AddrPort),
+		sizes:       make(map[string]float64),
+		borrowings:  make(map[string]*borrowing),
+		pauses:      make(map[string]borrowPause),
+		collections: make(map[string]*collection),
 	}
 }
 
@@ -104,6 +111,8 @@
 	for workspace := range p.owners {
 		if !known(workspace) {
 			delete(p.owners, workspace)
+			delete(p.collectors, workspace)
+			delete(p.collections, workspace)
 		}
 	}
 	released := make(map[netip.AddrPort][]string)
@@ -135,6 +144,7 @@
 		}
 	}
 	p.owners[workspace] = append(sameZone, otherZones...)
+	p.setCollector(workspace, owners)
 	p.table.SetPortion(now, workspace, size)
 	if p.sizes[workspace] > 0 && size == 0 && len(sameZone) > 0 {
 		released[sameZone[0]] = append(released[sameZone[0]], workspace)
@@ -142,6 +152,21 @@
 	p.sizes[workspace] = size
 }
 
+// setCollector determines which of a workspace's owners collects parts of tokens. A
+// single owner has no parts to collect.
+func (p *portions) setCollector(workspace string, owners []int) {
+	delete(p.collectors, workspace)
+	if len(owners) < 2 {
+		return
+	}
+	collector := p.members[owners[portion.Collector(workspace, owners, p.nodes)]]
+	if collector.VM == p.vm {
+		p.collectors[workspace] = netip.AddrPort{}
+		return
+	}
+	p.collectors[workspace] = collector.Address
+}
+
 // notifyRelease notifies the next owners of the portions that this node has given up.
 // If the notice does not arrive, they wait until enough time has passed for the portion
 // to be theirs.
@@ -217,20 +242,41 @@
 }
 
 // onBorrow lends tokens to another node.
-func (p *portions) onBorrow(_ context.Context, _ peer.Identity, payload []byte) (proto.Message, error) {
+func (p *portions) onBorrow(ctx context.Context, _ peer.Identity, payload []byte) (proto.Message, error) {
 	var query peerpb.BorrowQuery
 	if err := peer.Decode(payload, &query); err != nil {
 		return nil, err
 	}
 	if p.stale() {
-		return &peerpb.BorrowReply{}, nil
+		return &peerpb.BorrowReply{Unavailable: true}, nil
+	}
+	if !query.GetCollect() {
+		return p.reply(&query, p.lend(&query)), nil
+	}
+	tokens, ok := p.lendCollected(ctx, &query)
+	if !ok {
+		return &peerpb.BorrowReply{Unavailable: true}, nil
 	}
+	return p.reply(&query, tokens), nil
+}
+
+// lend subtracts the tokens that a node asks for, and returns their number.
+func (p *portions) lend(query *peerpb.BorrowQuery) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
-	reply := &peerpb.BorrowReply{Tokens: p.table.Lend(now, query.GetWorkspace(), min(query.GetTokens(), maxBorrowTokens))}
-	if reply.Tokens < 1 {
-		reply.RetryAfterMicros = p.table.RetryAfter(now, query.GetWorkspace()).Microseconds()
+	if query.GetPart() {
+		return p.table.LendPart(time.Now(), query.GetWorkspace(), min(query.GetTokens(), 1))
+	}
+	return p.table.Lend(time.Now(), query.GetWorkspace(), min(query.GetTokens(), maxBorrowTokens))
+}
+
+// reply carries tokens, or when some are expected.
+func (p *portions) reply(query *peerpb.BorrowQuery, tokens float64) *peerpb.BorrowReply {
+	reply := &peerpb.BorrowReply{Tokens: tokens}
+	if tokens < 1 && !query.GetPart() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		reply.RetryAfterMicros = p.table.RetryAfter(time.Now(), query.GetWorkspace()).Microseconds()
 	}
-	return reply, nil
+	return reply
 }
--- a/node/portions_borrow.go
+++ b/node/portions_borrow.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"auburngap/peer"
@@ -69,19 +70,14 @@
 	return b
 }
 
-// borrow asks the owners one after the other until it has enough tokens.
+// borrow asks the first owner, which is in this zone if there is one, then the collector,
+// and the other owners if that does not help.
 func (p *portions) borrow(workspace string, b *borrowing, wanted float64, owners []netip.AddrPort) {
-	retryAfter := time.Duration(0)
-	for i, owner := range p.queryOrder(owners) {
-		if wanted <= 0 {
-			break
-		}
-		tokens, wait := p.borrowFrom(owner, workspace, wanted)
-		if i == 0 {
-			retryAfter = wait
-		}
-		wanted -= tokens
-		p.receive(workspace, b, tokens)
+	tokens, retryAfter := p.borrowFrom(owners[0], workspace, wanted)
+	p.receive(workspace, b, tokens)
+	wanted -= tokens
+	if wanted > 0 && !p.receiveCollected(workspace, b, &wanted) {
+		wanted = p.borrowFromAll(workspace, b, wanted, shuffled(owners[1:]))
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -95,13 +91,24 @@
 	close(b.done)
 }
 
-// queryOrder returns the owners with all but the first in random order.
-func (p *portions) queryOrder(owners []netip.AddrPort) []netip.AddrPort {
-	order := append([]netip.AddrPort(nil), owners...)
-	if len(order) > 1 {
-		otherZones := order[1:]
-		rand.Shuffle(len(otherZones), func(i, j int) { otherZones[i], otherZones[j] = otherZones[j], otherZones[i] })
+// borrowFromAll asks owners one after the other until it has enough tokens. It returns
+// how many are still wanted.
+func (p *portions) borrowFromAll(workspace string, b *borrowing, wanted float64, owners []netip.AddrPort) float64 {
+	for _, owner := range owners {
+		if wanted <= 0 {
+			break
+		}
+		tokens, _ := p.borrowFrom(owner, workspace, wanted)
+		wanted -= tokens
+		p.receive(workspace, b, tokens)
 	}
+	return wanted
+}
+
+// shuffled returns the owners in random order.
+func shuffled(owners []netip.AddrPort) []netip.AddrPort {
+	order := slices.Clone(owners)
+	rand.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
 	return order
 }
 
@@ -116,14 +123,36 @@
 }
 
 // borrowFrom returns the tokens that an owner lends or, if it has none, after how long
-// it expects some. The tokens of an answer that arrives too late are lost.
+// it expects some.
 func (p *portions) borrowFrom(address netip.AddrPort, workspace string, wanted float64) (float64, time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
 	defer cancel()
-	message := &peerpb.BorrowQuery{Workspace: workspace, Tokens: wanted}
+	answer := p.queryTokens(ctx, address, &peerpb.BorrowQuery{Workspace: workspace, Tokens: wanted})
+	return answer.tokens, answer.retryAfter
+}
+
+// borrowAnswer is the answer of an owner.
+type borrowAnswer struct {
+	// tokens are at most those asked for.
+	tokens float64
+	// retryAfter is after how long the owner expects tokens if it has none.
+	retryAfter time.Duration
+	// ok is false if there was no answer in time, or the owner can't decide.
+	ok bool
+}
+
+func (p *portions) queryTokens(ctx context.Context, address netip.AddrPort, query *peerpb.BorrowQuery) borrowAnswer {
 	var reply peerpb.BorrowReply
-	if err := p.query(ctx, address, peer.KindBorrow, message, &reply); err != nil {
-		return 0, 0 // the next owner is asked
+	if err := p.query(ctx, address, peer.KindBorrow, query, &reply); err != nil {
+		return borrowAnswer{}
+	}
+	most := math.Ceil(query.GetTokens())
+	if query.GetPart() {
+		most = query.GetTokens()
+	}
+	return borrowAnswer{
+		tokens:     min(max(reply.GetTokens(), 0), most),
+		retryAfter: time.Duration(reply.GetRetryAfterMicros()) * time.Microsecond,
+		ok:         !reply.GetUnavailable(),
 	}
-	return min(max(reply.GetTokens(), 0), math.Ceil(wanted)), time.Duration(reply.GetRetryAfterMicros()) * time.Microsecond
 }
--- a/portion/owners.go
+++ b/portion/owners.go
@@ -42,3 +42,17 @@
 	slices.SortFunc(owners, func(a, b int) int { return cmp.Compare(nodes[a].Zone, nodes[b].Zone) })
 	return owners
 }
+
+// Collector returns which of a workspace's owner nodes collects the parts of a token
+// that the others hold, as an index into owners. Nodes that disagree for a while, as
+// their lists differ, lose no tokens.
+func Collector(workspace string, owners []int, nodes []Node) int {
+	chooser := rendezvous.New(workspace)
+	collector := 0
+	for i, owner := range owners {
+		if chooser.Rank(nodes[owner].VM) < chooser.Rank(nodes[owners[collector]].VM) {
+			collector = i
+		}
+	}
+	return collector
+}
