Say in the log why a request was refused for its rate

A refusal for the rate named neither the limit nor what the node held nor who decided, so that refusals within the rate couldn't be told from the others by the logs. The line has now rate, burst, tokens, portion, its age, and whether the collector, all owners or only this node had no token; explain says it in words.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -89,6 +89,14 @@
 	InFlight int    `json:"inFlight"`
 	// Limit is zero if the server's load is not known.
 	Limit int `json:"limit"`
+	// Rate and Burst are the workspace's limit. Tokens, Portion and PortionAge are what the
+	// node had of it, and DecidedBy which nodes had no token.
+	Rate       float64 `json:"rate"`
+	Burst      float64 `json:"burst"`
+	Tokens     float64 `json:"tokens"`
+	Portion    float64 `json:"portion"`
+	PortionAge string  `json:"portionAge"`
+	DecidedBy  string  `json:"decidedBy"`
 	// From and Age are the source of a node's view and the age of the view.
 	From  string `json:"from"`
 	Age   string `json:"age"`
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -43,6 +43,7 @@
 		{"no time left in the queue", start + `"msg":"route: no answer","service":"tracking","cause":"deadline","outcome":"notRun","next":"given up","target":"vm-2","inFlight":30,"limit":8}`, "the queue of tracking on vm-2 was full, or the call could not be served in its time (30 calls there, limit 8)"},
 		{"held back", start + `"msg":"caller: refused","cause":"overload"}`, "held the request back at its entry"},
 		{"over the rate", start + `"msg":"caller: refused","cause":"rate","workspace":"school"}`, "workspace school had spent its rate"},
+		{"over the rate, decided elsewhere", start + `"msg":"caller: refused","cause":"rate","workspace":"school","rate":11,"burst":12,"tokens":0.25,"portion":0.5,"portionAge":"9s","decidedBy":"collector"}`, "spent its rate of 11/s (burst 12): the node that collects its tokens had none. vm-1 held 0.25 tokens and owned 50% of the rate, for 9s"},
 		{"withdrawn key", start + `"msg":"caller: refused","cause":"unknownKey","version":7}`, "configuration 7 has no such key"},
 		{"answered by another server", start + `"msg":"route: no answer","cause":"overload","next":"sent again"}` + "\n" + start + `"msg":"caller: answered","status":200}`, "none"},
 		{"a server failed by itself", start + `"msg":"route: answered","service":"ledger","status":500,"target":"vm-2"}` + "\n" + start + `"msg":"route: answered","service":"orders","status":502,"target":"vm-3"}`, "the backend server of ledger on vm-2 answered with status 500"},
--- a/explain/render.go
+++ b/explain/render.go
@@ -156,12 +156,27 @@
 	return ""
 }
 
+// describeRate says which nodes had no token for a request.
+func describeRate(entry line) string {
+	text := fmt.Sprintf("workspace %s had spent its rate", entry.Workspace)
+	if entry.DecidedBy == "" {
+		return text + "."
+	}
+	decided := map[string]string{
+		"collector": "the node that collects its tokens had none",
+		"owners":    "none of the nodes that own its tokens gave one",
+		"thisNode":  "the node had none and could ask no other",
+	}[entry.DecidedBy]
+	return fmt.Sprintf("%s of %g/s (burst %g): %s. %s held %.2f tokens and owned %.0f%% of the rate, for %s.",
+		text, entry.Rate, entry.Burst, decided, entry.VM, entry.Tokens, 100*entry.Portion, entry.PortionAge)
+}
+
 func describeRefusal(entry line, ofNodes []line) string {
 	switch entry.Cause {
 	case "overload":
 		return fmt.Sprintf("%s held the request back at its entry, as a service on its way was full.", entry.VM)
 	case "rate":
-		return fmt.Sprintf("workspace %s had spent its rate.", entry.Workspace)
+		return describeRate(entry)
 	case "unknownKey":
 		return fmt.Sprintf("configuration %d has no such key.", entry.Version)
 	case "noRoute":
--- a/node/hosted_log.go
+++ b/node/hosted_log.go
@@ -38,10 +38,27 @@
 		line.Write(append(fields, zap.Int("status", sample.Status))...)
 		return
 	}
-	line.Write(append(fields,
+	fields = append(fields,
 		zap.Stringer("cause", sample.Refusal.Cause),
 		zap.Stringer("outcome", sample.Refusal.Outcome),
-		zap.Duration("retryAfter", sample.Refusal.RetryAfter))...)
+		zap.Duration("retryAfter", sample.Refusal.RetryAfter))
+	if rate := sample.Refusal.Rate; rate != nil {
+		fields = append(fields, rateFields(rate)...)
+	}
+	line.Write(fields...)
+}
+
+// rateFields are the fields of a line about a request that was refused for its
+// workspace's rate.
+func rateFields(rate *request.RateDecision) []zap.Field {
+	return []zap.Field{
+		zap.Float64("rate", rate.Rate),
+		zap.Float64("burst", rate.Burst),
+		zap.Float64("tokens", rate.Tokens),
+		zap.Float64("portion", rate.Portion),
+		zap.Duration("portionAge", rate.PortionAge),
+		zap.String("decidedBy", rate.DecidedBy),
+	}
 }
 
 // loggerFor returns the logger for an answer with a status.
--- a/node/portions.go
+++ b/node/portions.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"sync"
@@ -24,6 +25,13 @@
 	maxBorrowTokens = 256
 )
 
+// The values of request.RateDecision.DecidedBy.
+const (
+	decidedByThisNode  = "thisNode"
+	decidedByCollector = "collector"
+	decidedByOwners    = "owners"
+)
+
 // portions limits workspaces to their rates. An owner node of each workspace in each
 // availability zone accrues tokens, and other nodes borrow from the owners.
 type portions struct {
@@ -207,11 +215,28 @@
 		ok = p.retakeToken(workspace)
 	}
 	if !ok {
-		return nil, request.Refuse(request.CauseRate, request.NotRun, p.retryAfter(workspace))
+		refusal := request.Refuse(request.CauseRate, request.NotRun, p.retryAfter(workspace))
+		refusal.Rate = p.decision(workspace)
+		return nil, refusal
 	}
 	return func() { p.returnToken(workspace) }, nil
 }
 
+// decision returns why a request was refused.
+func (p *portions) decision(workspace string) *request.RateDecision {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state := p.table.State(time.Now(), workspace)
+	return &request.RateDecision{
+		Rate:       state.Limit.Rate,
+		Burst:      state.Limit.Burst,
+		Tokens:     state.Tokens,
+		Portion:    state.Portion,
+		PortionAge: state.Age,
+		DecidedBy:  cmp.Or(p.pauses[workspace].decidedBy, decidedByThisNode),
+	}
+}
+
 func (p *portions) takeToken(workspace string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/node/portions_borrow.go
+++ b/node/portions_borrow.go
@@ -27,6 +27,8 @@
 	length time.Duration
 	// retryAfter is after how long the owner asked first expected a token.
 	retryAfter time.Duration
+	// decidedBy is which nodes had too few tokens.
+	decidedBy string
 }
 
 // borrowing is one round of queries to the owners for tokens of a workspace.
@@ -76,14 +78,16 @@
 	tokens, retryAfter := p.borrowFrom(owners[0], workspace, wanted)
 	p.receive(workspace, b, tokens)
 	wanted -= tokens
+	decidedBy := decidedByCollector
 	if wanted > 0 && !p.receiveCollected(workspace, b, &wanted) {
+		decidedBy = decidedByOwners
 		wanted = p.borrowFromAll(workspace, b, wanted, shuffled(owners[1:]))
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if wanted > 0 {
 		length := min(max(2*p.pauses[workspace].length, minBorrowPause), maxBorrowPause)
-		p.pauses[workspace] = borrowPause{until: time.Now().Add(length), length: length, retryAfter: retryAfter}
+		p.pauses[workspace] = borrowPause{until: time.Now().Add(length), length: length, retryAfter: retryAfter, decidedBy: decidedBy}
 	} else {
 		delete(p.pauses, workspace)
 	}
--- a/portion/portion.go
+++ b/portion/portion.go
@@ -269,3 +269,27 @@
 	}
 	return b.tokens + b.borrowed
 }
+
+// State is what a node knows of a workspace's tokens.
+type State struct {
+	Limit Limit
+	// Tokens are the node's own and the borrowed ones.
+	Tokens float64
+	// Portion is the fraction of the whole that the node uses. Age is the time since it was
+	// last assigned one.
+	Portion float64
+	Age     time.Duration
+}
+
+// State returns the state of a workspace; zero for one without a limit.
+func (t *Table) State(now time.Time, workspace string) State {
+	b, ok := t.limited(now, workspace)
+	if !ok {
+		return State{}
+	}
+	state := State{Limit: b.limit, Tokens: b.tokens + b.borrowed, Portion: b.portion(now, t.config.SettleTime)}
+	if last := len(b.portions) - 1; last >= 0 {
+		state.Age = now.Sub(b.portions[last].since)
+	}
+	return state
+}
--- a/request/outcome.go
+++ b/request/outcome.go
@@ -125,6 +125,22 @@
 	ByBackend bool
 	// Report is the report that came with the refusal.
 	Report Report
+	// Rate is what was known of the workspace's tokens if Cause is CauseRate; it may be nil.
+	Rate *RateDecision
+}
+
+// RateDecision is what was known when a request was refused for its workspace's rate.
+type RateDecision struct {
+	// Rate is the workspace's rate in requests a second, and Burst its burst in requests,
+	// over all nodes.
+	Rate, Burst float64
+	// Tokens are those that the node held.
+	Tokens float64
+	// Portion is the fraction of the rate that the node owned, since PortionAge.
+	Portion    float64
+	PortionAge time.Duration
+	// DecidedBy is which nodes had no token: "collector", "owners" or "thisNode".
+	DecidedBy string
 }
 
 // Refuse returns a refusal as an error.
