--- a/node/hosted_drain.go
+++ b/node/hosted_drain.go
@@ -95,8 +95,7 @@
 	state := drainState{began: began, end: began.Add(h.limits.Load().DrainTime)}
 	h.draining.Store(&state)
 	h.callers.Drain()
-	h.waitForCalls(state)
-	if cut := h.running(); cut > 0 {
+	if cut := h.waitForCalls(state); cut > 0 {
 		h.logger.Warn("node: requests were cut", zap.Int64("requests", cut))
 	}
 	h.close()
@@ -104,8 +103,8 @@
 }
 
 // waitForCalls returns once the node accepts no more requests and none runs, or when the
-// drain has to end.
-func (h *Hosted) waitForCalls(state drainState) {
+// drain has to end. It returns the number of those that still run.
+func (h *Hosted) waitForCalls(state drainState) int64 {
 	ctx, cancel := context.WithDeadline(context.Background(), state.end)
 	defer cancel()
 	for clock.Sleep(ctx, drainPoll) {
@@ -119,9 +118,10 @@
 		}
 		h.callers.StopPipelining()
 		if h.running() == 0 {
-			return
+			return 0
 		}
 	}
+	return h.running()
 }
 
 // running returns the number of callers' connections that wait for an answer, and of
--- a/node/portions_collect.go
+++ b/node/portions_collect.go
@@ -32,12 +32,12 @@
 type collectResult int
 
 const (
-	// notCollector means that this node's portion can't hold a whole token.
-	notCollector collectResult = iota
-	// collected means that there was a whole token.
-	collected
-	// exhausted means that the owners together have less than a whole token.
-	exhausted
+	// collectNotHere means that this node's portion can't hold a whole token.
+	collectNotHere collectResult = iota
+	// collectDone means that there was a whole token.
+	collectDone
+	// collectExhausted means that the owners together have less than a whole token.
+	collectExhausted
 )
 
 // receiveCollected adds the tokens that the collector lends, for which it asks the other
@@ -54,7 +54,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), collectTimeout)
 	defer cancel()
 	if !collector.IsValid() {
-		if p.collect(ctx, workspace) == notCollector {
+		if p.collect(ctx, workspace) == collectNotHere {
 			return false
 		}
 		tokens := math.Floor(p.tokens(workspace))
@@ -75,7 +75,7 @@
 	now := time.Now()
 	if !p.table.Collects(now, workspace) {
 		p.mu.Unlock()
-		return notCollector
+		return collectNotHere
 	}
 	c, ok := p.collections[workspace]
 	if !ok {
@@ -101,9 +101,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if time.Now().Before(c.retryAt) {
-		return exhausted
+		return collectExhausted
 	}
-	return collected
+	return collectDone
 }
 
 // lendCollected lends a token, which it collects first if it has none, and returns the
@@ -113,12 +113,12 @@
 	defer cancel()
 	for {
 		result := p.collect(ctx, query.GetWorkspace())
-		if result == notCollector {
+		if result == collectNotHere {
 			return 0, false
 		}
 		// Another call may have got the token that was collected.
 		tokens := p.lend(query)
-		if tokens >= 1 || result == exhausted || ctx.Err() != nil {
+		if tokens >= 1 || result == collectExhausted || ctx.Err() != nil {
 			return tokens, true
 		}
 	}
