--- a/portion/collect.go
+++ b/portion/collect.go
@@ -2,10 +2,6 @@
 
 import "time"
 
-// A workspace with a small burst has many of its tokens in parts at several owner nodes,
-// where no request can use them. One owner node, the collector, moves them into its own
-// tokens when it lacks a whole one and another node asks for it.
-
 // roundingError is the part of a token by which the sum of parts may be too small.
 const roundingError = 1e-9
 
--- a/portion/portion.go
+++ b/portion/portion.go
@@ -12,6 +12,13 @@
 //	tokens := table.Lend(now, "school", 4)               // for another node
 //	table.AddBorrowed(now, "school", tokens)
 //
+// A workspace with a small burst has many of its tokens in parts at several owner nodes,
+// where no request can use them. One of these, the collector, moves parts into its own
+// tokens when a node asks it and it has no whole one:
+//
+//	missing := collector.Missing(now, "school")
+//	collector.AddCollected(now, "school", owner.LendPart(now, "school", missing))
+//
 // The portions in use never add up to more than the whole, as long as no node
 // serves by a list of nodes that is older than SettleTime. A node uses a smaller
 // portion immediately. It uses a larger one when the node that had it has released
