--- a/portion/borrow.go
+++ b/portion/borrow.go
@@ -21,7 +21,7 @@
 		}
 		return
 	}
-	b.tokens = min(b.tokens+1, max(b.tokens, b.limit.Burst*size))
+	b.fill(1, size)
 }
 
 // Lend subtracts tokens for another node and returns their number. It gives whole
--- a/portion/collect.go
+++ b/portion/collect.go
@@ -41,7 +41,7 @@
 	if !ok {
 		return
 	}
-	b.tokens = min(b.tokens+tokens, max(b.tokens, b.limit.Burst*b.portion(now, t.config.SettleTime)))
+	b.fill(tokens, b.portion(now, t.config.SettleTime))
 	if b.tokens < 1 && b.tokens > 1-roundingError {
 		b.tokens = 1
 	}
--- a/portion/portion.go
+++ b/portion/portion.go
@@ -226,10 +226,15 @@
 	}
 	size := b.portion(now, t.config.SettleTime)
 	grown := elapsed * b.limit.Rate * size
-	b.tokens = min(b.tokens+grown, max(b.tokens, b.limit.Burst*size))
+	b.fill(grown, size)
 	b.deferred = max(0, b.deferred-grown)
 }
 
+// fill adds tokens up to a portion of the burst.
+func (b *bucket) fill(tokens, size float64) {
+	b.tokens = min(b.tokens+tokens, max(b.tokens, b.limit.Burst*size))
+}
+
 // limited returns the bucket of a workspace that has a limit, with the tokens
 // accrued up to now.
 func (t *Table) limited(now time.Time, workspace string) (*bucket, bool) {
