End a pipelined request's context with its answer

Since running requests can be ended all at once, each request that began before its turn was registered there, and stayed so after its answer: memory grew with each. Found by reading the change again. The context now ends once the answer is written, or with the connection. TestAnsweredRequestsEnd failed before.

--- a/httpconn/pipeline.go
+++ b/httpconn/pipeline.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"slices"
 	"sync"
@@ -28,7 +29,8 @@
 // Early is a request that runs before its turn, while earlier requests on its
 // connection are not answered yet.
 type Early struct {
-	// Context is cancelled when the caller has disconnected.
+	// Context is cancelled when the caller has disconnected, and once the answer is
+	// written.
 	Context  context.Context
 	cancel   context.CancelFunc
 	response *fasthttp.Response
@@ -56,8 +58,26 @@
 	e.response.CopyTo(&ctx.Response)
 	if e.response.IsBodyStream() {
 		// CopyTo does not copy the stream.
-		ctx.Response.SetBodyStream(e.response.BodyStream(), e.response.Header.ContentLength())
+		body := &earlyBody{Reader: e.response.BodyStream(), cancel: e.cancel}
+		ctx.Response.SetBodyStream(body, e.response.Header.ContentLength())
+		return
 	}
+	e.cancel()
+}
+
+// earlyBody is the body of an answer. Its end is that of the request.
+type earlyBody struct {
+	io.Reader
+	cancel context.CancelFunc
+}
+
+// Close implements io.Closer.
+func (b *earlyBody) Close() error {
+	defer b.cancel()
+	if closer, ok := b.Reader.(io.Closer); ok {
+		return closer.Close()
+	}
+	return nil
 }
 
 // PipelineConfig configures ListenPipelined.
@@ -156,9 +176,12 @@
 	return n
 }
 
-// cancelQueued cancels the queued requests that were started early, as no caller
-// waits for them.
-func (p *pipeline) cancelQueued() {
+// cancelStarted cancels the requests that were started early and not delivered, as no
+// caller waits for them.
+func (p *pipeline) cancelStarted() {
+	if p.current != nil {
+		p.current.cancel()
+	}
 	for _, request := range p.queue {
 		if request.early != nil {
 			request.early.cancel()
@@ -296,6 +319,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.pipeline != nil {
-		c.pipeline.cancelQueued()
+		c.pipeline.cancelStarted()
 	}
 }
--- a/httpconn/pipeline_test.go
+++ b/httpconn/pipeline_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -24,7 +25,13 @@
 	work      time.Duration
 	began     atomic.Int64
 	cancelled atomic.Int64
-	address   string
+	// streams is true if answers are written as streams.
+	streams atomic.Bool
+	address string
+
+	mu sync.Mutex
+	// early are the requests that began before their turn.
+	early []*Early
 }
 
 func newPipelinedServer(t *testing.T, work time.Duration) *pipelinedServer {
@@ -69,6 +76,9 @@
 	ctx := &fasthttp.RequestCtx{}
 	ctx.Init(&in, nil, nil)
 	early := NewEarly(context.Background())
+	s.mu.Lock()
+	s.early = append(s.early, early)
+	s.mu.Unlock()
 	go func() {
 		s.answer(early.Context, ctx, nil)
 		early.Finish(&ctx.Response)
@@ -82,7 +92,12 @@
 	case <-gone.Done():
 		s.cancelled.Add(1)
 	}
-	ctx.SetBodyString(string(ctx.Method()) + " " + string(ctx.Path()) + " " + string(body))
+	text := string(ctx.Method()) + " " + string(ctx.Path()) + " " + string(body)
+	if s.streams.Load() {
+		ctx.SetBodyStream(strings.NewReader(text), -1)
+		return
+	}
+	ctx.SetBodyString(text)
 }
 
 // exchange writes the pieces and reads the given number of answers.
@@ -161,6 +176,26 @@
 	assert.Assert(t, time.Since(began) < 2*work, "four requests took %v", time.Since(began))
 }
 
+// TestAnsweredRequestsEnd guards against requests that began before their turn and stay
+// registered with what can end them all, so that memory grows with each.
+func TestAnsweredRequestsEnd(t *testing.T) {
+	for _, streams := range []bool{false, true} {
+		s := newPipelinedServer(t, time.Millisecond)
+		s.streams.Store(streams)
+		s.exchange(t, []string{getRequest(0) + getRequest(1) + getRequest(2)}, 3)
+		s.mu.Lock()
+		assert.Assert(t, len(s.early) > 0)
+		for _, early := range s.early {
+			select {
+			case <-early.Context.Done():
+			case <-time.After(2 * time.Second):
+				t.Errorf("a request has not ended (stream: %v)", streams)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
 // TestDisconnectCancelsRequests closes the connection while requests run: all are
 // cancelled.
 func TestDisconnectCancelsRequests(t *testing.T) {
