Review: a node sends a request into the rest of another's body

By backend/client.go: exchange.run returns an early answer after a send that failed, and exchange.finish keeps the connection without asking whether the body was written whole.

--- /dev/null
+++ b/review/standin/main.go
@@ -0,0 +1,35 @@
+// Command standin plays the cases of the review: it starts the project's nodes as
+// separate processes, and is itself the store, the targets and the clients.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+var tempFolder string
+
+// withTrouble is false with TROUBLE=0: the same without the disruption.
+var withTrouble = os.Getenv("TROUBLE") != "0"
+
+var cases = map[string]func(*site){
+	"early": earlyCase,
+}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Println("usage: standin CASE FOLDER")
+		os.Exit(2)
+	}
+	folder, err := filepath.Abs(os.Args[2])
+	check(err)
+	tempFolder, err = os.MkdirTemp("", "review")
+	check(err)
+	time.AfterFunc(115*time.Second, func() {
+		fmt.Println("could not run: out of time")
+		os.Exit(2) // the nodes get SIGKILL with their parent
+	})
+	cases[os.Args[1]](newSite(folder))
+}
