Review: a target that left is used again after its node's restart

Once the store is back, the target counts as ready and gets some 200 requests from 7.5 s to 15 s after the ack; two that may not be repeated are cut as it exits.

By platform/reports.go and node/hosted_backend.go: the ack is given before the mark is in the store, and restoreBackend takes the predecessor's entry as it stands.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,6 +15,7 @@
 var withTrouble = os.Getenv("TROUBLE") != "0"
 
 var cases = map[string]func(*site){
+	"leave": leaveCase,
 	"early": earlyCase,
 }
 
