Review: answers end early when a node stops in order

Clients keep idempotent requests behind the one that is being answered. A node that stops closes a connection with such requests unread, which resets it, and what the client has not got of the answer is dropped.

By httpconn/conn.go, Close, and caller/caller.go, handle: nothing reads what is still to come before the connection is closed.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,8 +15,9 @@
 var withTrouble = os.Getenv("TROUBLE") != "0"
 
 var cases = map[string]func(*site){
-	"leave": leaveCase,
-	"early": earlyCase,
+	"leave":  leaveCase,
+	"behind": behindCase,
+	"early":  earlyCase,
 }
 
 func main() {
--- a/review/standin/target.go
+++ b/review/standin/target.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -31,6 +33,7 @@
 	silent   bool // sends no further reports
 	state    string
 	early    *earlyTarget
+	answer   int // the length of an answer; 0: a short one
 	onRun    func(r *http.Request, body []byte)
 	raw      func(r *http.Request) (string, bool) // a faulty target's bytes
 }
@@ -58,7 +61,10 @@
 	t.mu.Lock()
 	t.runs = append(t.runs, run{attempt, time.Now()})
 	t.mu.Unlock()
-	body, _ := io.ReadAll(r.Body)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // the body broke off
+	}
 	if t.onRun != nil {
 		t.onRun(r, body)
 	}
@@ -78,6 +84,18 @@
 	}
 	w.Header().Set("X-Response-Seal", "seal-"+attempt)
 	w.Header().Set("X-Server-Load", fmt.Sprintf("1,0,%d", t.slots))
+	if size := t.answer; size > 0 {
+		text := []byte(strings.Repeat(attempt, size/len(attempt)))
+		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+		for len(text) > 0 {
+			k := min(len(text), 30000)
+			if _, err := w.Write(text[:k]); err != nil {
+				return
+			}
+			text = text[k:]
+		}
+		return
+	}
 	_, _ = fmt.Fprintf(w, "%s ran %s", t.id, attempt)
 }
 
