--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -145,18 +145,8 @@
 	s.notify()
 }
 
-// value returns an item's value.
-func (s *store) value(key string) string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if it, ok := s.items[key]; ok {
-		return string(it.Value)
-	}
-	return ""
-}
-
 // serve serves the store on a new loopback address for one node. met tells what that
-// node meets, and onWrite may wait before a write is done.
+// node meets.
 func (s *store) serve(met func() trouble) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	check(err)
