--- a/review/standin/leave.go
+++ b/review/standin/leave.go
@@ -86,6 +86,10 @@
 		} else {
 			leaving.signal(syscall.SIGTERM)
 		}
+		<-leaving.ended
+		if !time.Now().Before(storeBack) {
+			s.fail("the node's process ended only after the store was back")
+		}
 		leaving.restart(300 * time.Millisecond)
 		if now := time.Now(); now.After(calm) {
 			calm = now
