--- a/review/standin/target.go
+++ b/review/standin/target.go
@@ -16,6 +16,8 @@
 type run struct {
 	attempt string
 	at      time.Time
+	// finishedAt is when the whole answer was made; zero if the run was cut.
+	finishedAt time.Time
 }
 
 // target is a sound application target, with the machine beside it.
@@ -59,7 +61,8 @@
 		return
 	}
 	t.mu.Lock()
-	t.runs = append(t.runs, run{attempt, time.Now()})
+	number := len(t.runs)
+	t.runs = append(t.runs, run{attempt: attempt, at: time.Now()})
 	t.mu.Unlock()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -94,9 +97,19 @@
 			}
 			text = text[k:]
 		}
+		t.finish(number)
 		return
 	}
-	_, _ = fmt.Fprintf(w, "%s ran %s", t.id, attempt)
+	if _, err := fmt.Fprintf(w, "%s ran %s", t.id, attempt); err == nil {
+		t.finish(number)
+	}
+}
+
+// finish notes that a run has made its whole answer.
+func (t *target) finish(number int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.runs[number].finishedAt = time.Now()
 }
 
 // exit ends the target: what it is at work on is lost.
