--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -122,7 +122,7 @@
 // addWith is add with a change of the target before its node starts.
 func (s *site) addWith(service, zone string, work time.Duration, change func(*target)) *node {
 	i := len(s.nodes)
-	n := &node{site: s, name: fmt.Sprintf("sidecar-%d", i), ip: fmt.Sprintf("127.0.8.%d", 10+i), zone: zone, ports: map[string]string{}}
+	n := &node{site: s, name: fmt.Sprintf("sidecar-%d", i), ip: machineIP(i), zone: zone, ports: map[string]string{}}
 	n.target = newTarget(fmt.Sprintf("i-%08x", 0xa0+i), service, zone, n.ip, work)
 	change(n.target)
 	n.allocate()
@@ -134,6 +134,13 @@
 	return n
 }
 
+// machineIP returns the loopback address of a machine. It differs from run to run, so that runs
+// beside one another don't take each other's ports.
+func machineIP(i int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 16+pid/256%200, pid%256, 10+i)
+}
+
 // allocate finds free ports, the peers' below that of the metrics.
 func (n *node) allocate() {
 	var held []net.Listener
