Deliver the last answer of a caller's connection before closing it

Cause: the node wrote the last answer and closed the connection while requests that the caller had sent behind it lay unread in it. The kernel then resets the connection and drops what the caller has not received yet. The same happened to uploads refused or answered early, to heads that cannot be read, and to reports that are too long; a stop of the process did not wait for such answers either.

Change: after an answer, Conn.Close ends the outgoing side, discards what still comes and closes when the caller has, within 5 s. The connection counts as busy till then, so that a stop waits for it. The listeners for reports, control and metrics do the same.

Why it works: without unread bytes and with the socket open until the caller has ended its side, nothing is left that could reset the connection.

--- a/httpconn/conn.go
+++ b/httpconn/conn.go
@@ -23,6 +23,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"auburngap/tcpconn"
 )
 
 // pastDeadline is a deadline that unblocks a waiting read.
@@ -32,6 +34,11 @@
 // answered sooner.
 const watchDelay = 10 * time.Millisecond
 
+// answerCloseTimeout is how long a connection stays open after its last answer while the
+// caller has not closed its side. Requests and the rest of a body that arrive meanwhile
+// are discarded.
+const answerCloseTimeout = 5 * time.Second
+
 // Conn is a connection that can be watched between reads, to detect that it is
 // closed. Its Read must not be called while it is watched.
 type Conn struct {
@@ -58,6 +65,13 @@
 	// busy is true while a request has no answer yet.
 	busy  bool
 	state atomic.Int32
+	// closeTimeout is how long Close waits for the caller to receive the last answer; zero
+	// closes the connection at once.
+	closeTimeout time.Duration
+	// answered is set once an answer was written, until the caller closes its side.
+	answered atomic.Bool
+	// reading is true during a Read.
+	reading atomic.Bool
 }
 
 // The states of a connection.
@@ -158,8 +172,24 @@
 	c.mu.Unlock()
 }
 
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.answered.Store(true)
+	return c.Conn.Write(p)
+}
+
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
+	c.reading.Store(true)
+	defer c.reading.Store(false)
+	n, err := c.read(p)
+	if n == 0 && err != nil {
+		c.answered.Store(false)
+	}
+	return n, err
+}
+
+func (c *Conn) read(p []byte) (int, error) {
 	if c.pipeline != nil {
 		return c.readPipelined(p)
 	}
@@ -196,7 +226,9 @@
 }
 
 // Close implements net.Conn. A connection that readFirst found idle is not closed:
-// the poller keeps it open until the next request.
+// the poller keeps it open until the next request. After an answer, Close returns once
+// the caller has received it or closeTimeout has passed, unless the server waits for the
+// next request.
 func (c *Conn) Close() error {
 	if c.state.CompareAndSwap(connIdle, connDetached) {
 		c.idle.add(c.Conn)
@@ -206,6 +238,9 @@
 		return nil
 	}
 	c.cancelEarly()
+	if c.closeTimeout > 0 && c.answered.Load() && !c.reading.Load() {
+		return tcpconn.CloseGracefully(c.Conn, c.closeTimeout)
+	}
 	return c.Conn.Close()
 }
 
--- a/httpconn/listener.go
+++ b/httpconn/listener.go
@@ -6,7 +6,8 @@
 	"time"
 )
 
-// Listen wraps the connections of a listener in Conn.
+// Listen wraps the connections of a listener in Conn. Closing one after an answer does not
+// keep the caller from receiving the answer.
 func Listen(listener net.Listener) net.Listener {
 	return &wrappingListener{Listener: listener}
 }
@@ -21,7 +22,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return New(conn), nil
+	return newAccepted(conn), nil
+}
+
+// newAccepted wraps a connection on which answers are sent.
+func newAccepted(conn net.Conn) *Conn {
+	c := New(conn)
+	c.closeTimeout = answerCloseTimeout
+	return c
 }
 
 // ListenPolling wraps the connections of a listener in Conn, and holds idle ones
@@ -86,7 +94,7 @@
 }
 
 func (l *pollingListener) newConn(conn net.Conn) *Conn {
-	c := New(conn)
+	c := newAccepted(conn)
 	c.idle = l.idle
 	if l.begin != nil {
 		c.pipeline = &pipeline{begin: l.begin}
--- a/node/control.go
+++ b/node/control.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"auburngap/httpconn"
 	"auburngap/route"
 )
 
@@ -47,7 +48,7 @@
 
 // Serve answers until Shutdown.
 func (c *controlServer) Serve(listener net.Listener) error {
-	return c.http.Serve(listener)
+	return c.http.Serve(httpconn.Listen(listener))
 }
 
 // Shutdown ends Serve.
--- a/node/hosted_drain.go
+++ b/node/hosted_drain.go
@@ -138,6 +138,9 @@
 	defer cancel()
 	for h.callers.Busy() > 0 && clock.Sleep(answering, drainPoll) {
 	}
+	if connections := h.callers.Busy(); connections > 0 {
+		h.logger.Warn("node: callers have not closed their connections", zap.Int64("connections", connections))
+	}
 	closing, cancelClosing := context.WithTimeout(context.Background(), drainPoll)
 	defer cancelClosing()
 	// Connections that are still open then have no request, and end with the process.
