Acknowledge that a backend server leaves once the store has it

A server that had left, or drained, could be in use again after its node was killed: the report was acknowledged as soon as it stood in memory, and the write to the store came later or never. A late report of the same run then put the server back into use at the next process.

The acknowledgement now waits until the store has confirmed the entry that says so, 0.5 s at most (the server waits a second). If it takes longer, the line "backend: leaving acknowledged before it was published" says so.

--- a/node/hosted.go
+++ b/node/hosted.go
@@ -117,6 +117,9 @@
 	leavingBackend *roster.Backend
 	// endedInstance is the last instance of the backend server that reported that it leaves.
 	endedInstance string
+	// publishMu guards published, the entry that was published last; nil before the first.
+	publishMu sync.Mutex
+	published *roster.Member
 	// viewApplied is set, and hasView closed, by the first view of the site.
 	viewApplied bool
 	hasView     chan struct{}
--- a/node/hosted_backend.go
+++ b/node/hosted_backend.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -9,6 +10,10 @@
 	"auburngap/roster"
 )
 
+// leavePublishTimeout bounds how long a report that the backend server leaves waits for the
+// key-value service. The server waits a second for the acknowledgement.
+const leavePublishTimeout = 500 * time.Millisecond
+
 // HandleReport applies a report of the VM's backend server. From then on requests are sent
 // to it and no longer to another instance.
 func (h *Hosted) HandleReport(announcement backend.Announcement) {
@@ -50,6 +55,17 @@
 	h.applyAnnouncement(current)
 }
 
+// AwaitLeavePublished returns once the key-value service has what HandleLeave or a draining
+// HandleReport has recorded, so that a later process on this VM learns of it, or after
+// leavePublishTimeout. The caller then acknowledges the report in either case.
+func (h *Hosted) AwaitLeavePublished() {
+	ctx, cancel := context.WithTimeout(context.Background(), leavePublishTimeout)
+	defer cancel()
+	if !h.waitUntilPublished(ctx) {
+		h.logger.Warn("backend: leaving acknowledged before it was published")
+	}
+}
+
 // restoreBackend applies what an earlier process on this VM published about the backend
 // server. A run that was leaving then is still leaving. Any other run gets
 // requests before its next report: if it is gone meanwhile, its successor
--- a/node/hosted_roster.go
+++ b/node/hosted_roster.go
@@ -112,7 +112,8 @@
 	return targets
 }
 
-// publishUntil publishes this node and its backend server until the context ends.
+// publishUntil publishes this node and its backend server until the context ends. The
+// first view shows what an earlier process has published.
 func (h *Hosted) publishUntil(ctx context.Context) error {
 	select {
 	case <-h.hasView:
@@ -121,21 +122,8 @@
 	}
 	ticker := time.NewTicker(membershipInterval)
 	defer ticker.Stop()
-	var last roster.Member
-	var lastBackend roster.Backend
 	for {
-		member := h.member()
-		backend := roster.Backend{}
-		if member.Backend != nil {
-			backend = *member.Backend
-		}
-		// A change of WarmAt alone does not need to be published again.
-		same := backend
-		same.WarmAt = lastBackend.WarmAt
-		if last.VM == "" || member.Leaving != last.Leaving || (member.Backend == nil) != (last.Backend == nil) || same != lastBackend {
-			h.publisher.Set(member)
-			last, lastBackend = member, backend
-		}
+		h.publish()
 		select {
 		case <-ctx.Done():
 			return nil
@@ -145,6 +133,44 @@
 	}
 }
 
+// publish publishes this node's entry if it has changed.
+func (h *Hosted) publish() {
+	h.publishMu.Lock()
+	defer h.publishMu.Unlock()
+	member := h.member()
+	if h.published != nil && isSameEntry(*h.published, member) {
+		return
+	}
+	h.publisher.Set(member)
+	h.published = &member
+}
+
+// isSameEntry reports whether two entries of one node differ at most in WarmAt, which
+// alone does not need to be published again.
+func isSameEntry(a, b roster.Member) bool {
+	if a.Leaving != b.Leaving || (a.Backend == nil) != (b.Backend == nil) {
+		return false
+	}
+	if a.Backend == nil {
+		return true
+	}
+	same := *a.Backend
+	same.WarmAt = b.Backend.WarmAt
+	return same == *b.Backend
+}
+
+// waitUntilPublished publishes the present state and returns true once the key-value
+// service has it, or false when ctx ends first.
+func (h *Hosted) waitUntilPublished(ctx context.Context) bool {
+	select {
+	case <-h.hasView:
+	case <-ctx.Done():
+		return false
+	}
+	h.publish()
+	return h.publisher.WaitConfirmed(ctx)
+}
+
 // member returns the entry that this node publishes.
 func (h *Hosted) member() roster.Member {
 	member := roster.Member{
--- a/roster/publisher.go
+++ b/roster/publisher.go
@@ -50,9 +50,13 @@
 	// confirmedValue is the last value that the service confirmed.
 	confirmedValue string
 
-	mu        sync.Mutex
-	member    Member
-	hasMember bool
+	mu     sync.Mutex
+	member Member
+	// changes counts the calls of Set, and confirmedChanges those of them whose member, or
+	// a later one, the service has confirmed.
+	changes, confirmedChanges uint64
+	// confirmed is closed and replaced when confirmedChanges grows.
+	confirmed chan struct{}
 	wake      chan struct{}
 }
 
@@ -61,27 +65,62 @@
 	if config.Lease == 0 {
 		config.Lease = DefaultLease
 	}
-	return &Publisher{config: config, wake: make(chan struct{}, 1)}
+	return &Publisher{config: config, confirmed: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
 
 // Set changes the published member.
 func (p *Publisher) Set(member Member) {
 	p.mu.Lock()
-	p.member, p.hasMember = member, true
+	p.member = member
+	p.changes++
 	p.mu.Unlock()
 	p.wakeUp()
 }
 
-// value returns the encoded member; false before the first Set.
-func (p *Publisher) value() (string, bool) {
+// WaitConfirmed returns true once the service has confirmed the member of the last Set or
+// a later one, or false when ctx ends first.
+func (p *Publisher) WaitConfirmed(ctx context.Context) bool {
+	p.mu.Lock()
+	wanted := p.changes
+	p.mu.Unlock()
+	for {
+		p.mu.Lock()
+		reached, confirmed := wanted > 0 && p.confirmedChanges >= wanted, p.confirmed
+		p.mu.Unlock()
+		if reached {
+			return true
+		}
+		select {
+		case <-confirmed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// setConfirmed records that the service has the member of a Set.
+func (p *Publisher) setConfirmed(change uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.hasMember {
-		return "", false
+	if change <= p.confirmedChanges {
+		return
+	}
+	p.confirmedChanges = change
+	close(p.confirmed)
+	p.confirmed = make(chan struct{})
+}
+
+// value returns the encoded member and the number of its Set, which is zero before the
+// first.
+func (p *Publisher) value() (string, uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.changes == 0 {
+		return "", 0
 	}
 	// The encoding of a Member cannot fail.
 	data, _ := json.Marshal(p.member)
-	return string(data), true
+	return string(data), p.changes
 }
 
 // Run publishes the member and renews its lease until ctx is done.
@@ -110,13 +149,18 @@
 			p.lease = 0
 			p.revision.Store(uint64(kv.Absent))
 		}
-		value, ok := p.value()
-		if !ok || value == p.confirmedValue && p.lease != 0 {
+		value, change := p.value()
+		if change == 0 {
+			return
+		}
+		if value == p.confirmedValue && p.lease != 0 {
+			p.setConfirmed(change)
 			return
 		}
 		err := p.write(ctx, value)
 		if err == nil {
 			p.confirmedValue = value
+			p.setConfirmed(change)
 			continue
 		}
 		failures++
