Use a backend server after a restart only once it reports

Cause: an acknowledgement outlives the process that gave it. What it promised was in memory alone; the next process took the server's state from its predecessor's last entry, which still said "in use", and published that again.

Change: a predecessor's entry counts only where it says that the server leaves; that is published again, so that a second restart does not lose it. Any other server is used from its first report to the new process on.

Why it works: a server that has left reports nothing, one that drains says so, and both hold whatever became of the store and of other nodes. It costs up to a heartbeat after a restart.

TestRestoreBackend demanded the opposite, that the entry be trusted at once, which the rule forbids.

--- a/node/hosted_backend.go
+++ b/node/hosted_backend.go
@@ -57,7 +57,9 @@
 
 // AwaitLeavePublished returns once the key-value service has what HandleLeave or a draining
 // HandleReport has recorded, so that a later process on this VM learns of it, or after
-// leavePublishTimeout. The caller then acknowledges the report in either case.
+// leavePublishTimeout. The caller then acknowledges the report in either case: while the
+// service is away, the server reports itself in use no more, and restoreBackend trusts
+// nothing else.
 func (h *Hosted) AwaitLeavePublished() {
 	ctx, cancel := context.WithTimeout(context.Background(), leavePublishTimeout)
 	defer cancel()
@@ -67,9 +69,9 @@
 }
 
 // restoreBackend applies what an earlier process on this VM published about the backend
-// server. A run that was leaving then is still leaving. Any other run gets
-// requests before its next report: if it is gone meanwhile, its successor
-// refuses the requests meant for it.
+// server. A run that was leaving then is still leaving. Any other run is not in use before
+// it reports to this process: the earlier one may have acknowledged that it leaves without
+// publishing it, and a server that has left reports no more.
 func (h *Hosted) restoreBackend(members []roster.Member) {
 	h.backendMu.Lock()
 	defer h.backendMu.Unlock()
@@ -77,16 +79,17 @@
 		if member.VM != h.config.VM || member.Backend == nil {
 			continue
 		}
+		if !member.Backend.Draining && (h.endedInstance == "" || member.Backend.Instance != h.endedInstance) {
+			h.logger.Info("backend: not in use before it reports", zap.String("instance", member.Backend.Instance))
+			continue
+		}
+		h.leavingBackend = member.Backend
 		current, reported := h.announced.Current()
-		switch {
-		case member.Backend.Draining || h.endedInstance != "" && member.Backend.Instance == h.endedInstance:
-			h.leavingBackend = member.Backend
-			if reported {
-				h.applyAnnouncement(current)
-			}
-		case !reported && member.Backend.Instance != "":
-			h.applyAnnouncement(announcementOf(*member.Backend))
+		if !reported {
+			// Published again, as the next process has to learn of it, too.
+			current = announcementOf(*member.Backend)
 		}
+		h.applyAnnouncement(current)
 	}
 }
 
--- a/node/hosted_backend_test.go
+++ b/node/hosted_backend_test.go
@@ -65,6 +65,7 @@
 		{"another instance has left", func(h *Hosted) {
 			h.HandleLeave("i-0")
 			h.restoreBackend(published)
+			h.HandleReport(backend.Announcement{Service: "orders", Instance: "i-1", Slots: 10})
 		}, true},
 	}
 	for _, c := range cases {
@@ -89,37 +90,62 @@
 	return h
 }
 
-// TestRestoreBackend restarts a node beside a server that still runs, as after all nodes
-// were killed at once: the node must accept requests for its server as soon as it has
-// read the store, and not only with the next report, which may take a heartbeat.
+// TestRestoreBackend guards against a server that has left and is in use again after a
+// restart of its node: the earlier process acknowledged that it leaves and ended before the
+// key-value service had it. Only a report to this process shows that a server is in use;
+// with it the server is used at once, unless it was published as leaving.
 func TestRestoreBackend(t *testing.T) {
 	published := roster.Backend{Service: "orders", Instance: "i-1", Slots: 10}
 	draining := published
 	draining.Draining = true
-	reported := &backend.Announcement{Service: "orders", Instance: "i-2", Slots: 12}
+	same := &backend.Announcement{Service: "orders", Instance: "i-1", Slots: 10}
+	other := &backend.Announcement{Service: "orders", Instance: "i-2", Slots: 12}
+	type state struct {
+		instance string
+		draining bool
+	}
 	cases := []struct {
 		name      string
 		published *roster.Backend
-		reported  *backend.Announcement
-		want      string
-		draining  bool
+		// before and after are reports that come before and after the first view.
+		before, after *backend.Announcement
+		want          state
 	}{
-		{"a server that still runs", &published, nil, "i-1", false},
-		{"a server that was leaving", &draining, nil, "", false},
-		{"no server", nil, nil, "", false},
-		{"a report came first", &published, reported, "i-2", false},
-		{"a late report of a server that was leaving", &draining, &backend.Announcement{Service: "orders", Instance: "i-1", Slots: 10}, "i-1", true},
+		{"a server that does not report", &published, nil, nil, state{}},
+		{"a server that reports", &published, nil, same, state{"i-1", false}},
+		{"a report came first", &published, same, nil, state{"i-1", false}},
+		{"a successor reports", &published, nil, other, state{"i-2", false}},
+		{"a successor's report came first", &published, other, nil, state{"i-2", false}},
+		{"a server that was leaving", &draining, nil, nil, state{"i-1", true}},
+		{"a late report of a server that was leaving", &draining, nil, same, state{"i-1", true}},
+		{"a late report came first", &draining, same, nil, state{"i-1", true}},
+		{"a successor of a server that was leaving", &draining, nil, other, state{"i-2", false}},
+		{"no server", nil, nil, nil, state{}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			h := newTestHosted(t)
-			if c.reported != nil {
-				h.HandleReport(*c.reported)
+			if c.before != nil {
+				h.HandleReport(*c.before)
 			}
 			h.restoreBackend([]roster.Member{{VM: "vm-0", Backend: &published}, {VM: "vm-1", Backend: c.published}})
+			if c.after != nil {
+				h.HandleReport(*c.after)
+			}
 			current, _ := h.announced.Current()
-			assert.Equal(t, current.Instance, c.want)
-			assert.Equal(t, current.Draining, c.draining)
+			assert.Equal(t, state{current.Instance, current.Draining}, c.want)
 		})
 	}
 }
+
+// TestRestoredLeaveIsPublished guards against a server that has left and is in use again
+// after a second restart of its node: the process between the two must publish what it
+// learned from the first.
+func TestRestoredLeaveIsPublished(t *testing.T) {
+	h := newTestHosted(t)
+	h.restoreBackend([]roster.Member{{VM: "vm-1", Backend: &roster.Backend{Service: "orders", Instance: "i-1", Slots: 10, Draining: true}}})
+	published := h.member().Backend
+	assert.Assert(t, published != nil)
+	assert.Equal(t, published.Instance, "i-1")
+	assert.Assert(t, published.Draining)
+}
