Keep a backend server's connection only if the request was written to its end

The node put the connection back among the idle ones with the rest of the body due, and sent the next client's request into it, where the target read it as body: that request never ran and ended with 504.

Cause: the connection was kept if the answer had been read to its end; whether the request had been written to its end was not asked. The same held for a refusal "not run" and for bodies in chunks.

Change: exchange.finish asks both, for every way that ends an exchange.

Failed before: six of eleven rows of TestUnsentBodyEndsConnection, and TestBrokenBodyDoesNotWait (2 s, its deadline).

--- a/backend/client.go
+++ b/backend/client.go
@@ -122,17 +122,25 @@
 	maxConnections int
 	// receivedOther is set if the connection delivered an answer to another request.
 	receivedOther bool
-	liveCall      *LiveCall
-	end           func()
-	stop          func() bool
-	response      *fasthttp.Response
-	body          io.Reader
-	ended         bool
-	finished      atomic.Bool
+	// sent is set once the request was written to its end.
+	sent bool
+	// sentBody is the call's body; nil if it has none.
+	sentBody *sentBody
+	liveCall *LiveCall
+	end      func()
+	stop     func() bool
+	response *fasthttp.Response
+	body     io.Reader
+	ended    bool
+	finished atomic.Bool
 }
 
 func (e *exchange) run(call *request.Call, token string) (*request.Answer, error) {
 	if err := e.send(call, token); err != nil {
+		if e.sentBody != nil && e.sentBody.broken {
+			// The server may wait for the rest: only an answer that is already there counts.
+			_ = e.conn.conn.SetReadDeadline(time.Now().Add(maxDrainTime))
+		}
 		// A server that answered before it read the whole request may have closed
 		// its side of the connection.
 		if receiveErr := e.receive(call); receiveErr != nil {
@@ -166,12 +174,33 @@
 		}
 	}
 	if call.Body != nil {
-		out.SetBodyStream(httpconn.WithTrailers(call.Body, call.Trailers, header), int(call.BodySize))
+		e.sentBody = &sentBody{Reader: httpconn.WithTrailers(call.Body, call.Trailers, header)}
+		out.SetBodyStream(e.sentBody, int(call.BodySize))
 	}
 	if err := out.Write(e.conn.writer); err != nil {
 		return err
 	}
-	return e.conn.writer.Flush()
+	if err := e.conn.writer.Flush(); err != nil {
+		return err
+	}
+	e.sent = true
+	return nil
+}
+
+// sentBody is a call's body on its way to the backend server.
+type sentBody struct {
+	io.Reader
+	// broken is set if the caller's body broke off.
+	broken bool
+}
+
+// Read implements io.Reader.
+func (b *sentBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.broken = true
+	}
+	return n, err
 }
 
 // timeLeft returns the time until a call's deadline in milliseconds, at least 1.
@@ -243,13 +272,16 @@
 	return nil
 }
 
-func (e *exchange) finish(reusable bool) {
+// finish ends the exchange. The connection is kept if answerRead, the request was written
+// to its end too, and nothing else speaks against it: a server that answers early reads on
+// and would take the next request for the rest of the body.
+func (e *exchange) finish(answerRead bool) {
 	if !e.finished.CompareAndSwap(false, true) {
 		return
 	}
 	e.end()
 	stopped := e.stop()
-	if !reusable || !stopped || e.receivedOther || e.response.ConnectionClose() {
+	if !answerRead || !e.sent || !stopped || e.receivedOther || e.response.ConnectionClose() {
 		_ = e.conn.conn.Close()
 		return
 	}
--- /dev/null
+++ b/backend/unsent_body_test.go
@@ -0,0 +1,168 @@
+package backend
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"auburngap/request"
+)
+
+// uploadBytes is the size of a long body.
+const uploadBytes = 1 << 20
+
+var errCallerLeft = errors.New("caller left")
+
+// earlyServer answers each request with the text of answer before it reads the body, keeps
+// the connection and reads on.
+type earlyServer struct {
+	answer string
+	// connections counts the connections, and foreign the bytes that arrived where the rest
+	// of a body was due.
+	connections, foreign atomic.Int64
+}
+
+func (s *earlyServer) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	s.connections.Add(1)
+	reader := bufio.NewReader(conn)
+	for {
+		incoming, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		text := strings.ReplaceAll(s.answer, "ATTEMPT", incoming.Header.Get(testDialect.AttemptID))
+		if _, err := io.WriteString(conn, text); err != nil {
+			return
+		}
+		body, err := io.ReadAll(incoming.Body)
+		s.foreign.Add(int64(len(body) - bytes.Count(body, []byte("b"))))
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (s *earlyServer) start(t *testing.T) *Client {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.Check(t, listener.Close()) })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn)
+		}
+	}()
+	client := NewClient(ClientConfig{Tokens: NewTokens(), Dialect: testDialect, UnsafeIdleTimeout: time.Minute, Announced: func() (Announcement, bool) {
+		return Announcement{Service: "orders", Address: netip.MustParseAddrPort(listener.Addr().String()), Connections: 10}, true
+	}})
+	t.Cleanup(client.Close)
+	return client
+}
+
+// upload sends an attempt with a body and reads the answer to its end, if there is one.
+func upload(ctx context.Context, client *Client, attempt string, body io.Reader, size int64) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	call := &request.Call{Service: "orders", Method: http.MethodPost, URI: []byte("/"), Host: "h", AttemptID: attempt, Body: body, BodySize: size}
+	call.Headers = []request.Header{{Name: []byte(testDialect.AttemptID), Value: []byte(attempt)}}
+	call.Context.Deadline = time.Now().Add(2 * time.Second)
+	answer, err := client.Serve(ctx, call)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, answer.Body)
+	return errors.Join(err, answer.Body.Close())
+}
+
+// brokenBody returns a body that breaks off after a third.
+func brokenBody(after func() error) io.Reader {
+	return io.MultiReader(strings.NewReader(strings.Repeat("b", uploadBytes/3)), readerFunc(func([]byte) (int, error) { return 0, after() }))
+}
+
+type readerFunc func(p []byte) (int, error)
+
+// Read implements io.Reader.
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
+// TestUnsentBodyEndsConnection guards against a request that is sent into the rest of
+// another's body, where the backend server reads it as such and never runs it: the server
+// had answered early, and the body of its request had not been written to its end.
+func TestUnsentBodyEndsConnection(t *testing.T) {
+	const (
+		answered = "HTTP/1.1 413 x\r\nX-Attempt: ATTEMPT\r\nContent-Length: 5\r\n\r\nhello"
+		chunked  = "HTTP/1.1 413 x\r\nX-Attempt: ATTEMPT\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+		refused  = "HTTP/1.1 503 x\r\nX-Attempt: ATTEMPT\r\nX-Not-Run: 1\r\nContent-Length: 5\r\n\r\nhello"
+	)
+	whole := func(context.CancelFunc) io.Reader { return strings.NewReader(strings.Repeat("b", uploadBytes)) }
+	left := func(context.CancelFunc) io.Reader {
+		return brokenBody(func() error { return errCallerLeft })
+	}
+	early := func(context.CancelFunc) io.Reader {
+		return brokenBody(func() error { return io.ErrUnexpectedEOF })
+	}
+	cancelled := func(cancel context.CancelFunc) io.Reader {
+		return brokenBody(func() error { cancel(); return context.Canceled })
+	}
+	cases := []struct {
+		name   string
+		answer string
+		body   func(cancel context.CancelFunc) io.Reader
+		// size is -1 for a body in chunks.
+		size        int64
+		connections int64
+	}{
+		{"whole", answered, whole, uploadBytes, 1},
+		{"whole, in chunks", answered, whole, -1, 1},
+		{"whole and refused", refused, whole, uploadBytes, 1},
+		{"broken off", answered, left, uploadBytes, 2},
+		{"broken off, answered in chunks", chunked, left, uploadBytes, 2},
+		{"broken off, in chunks", answered, left, -1, 2},
+		{"ended early", answered, early, uploadBytes, 2},
+		{"broken off and refused", refused, left, uploadBytes, 2},
+		{"broken off in chunks and refused", refused, left, -1, 2},
+		{"cancelled", answered, cancelled, uploadBytes, 2},
+		{"cancelled and refused", refused, cancelled, uploadBytes, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			server := &earlyServer{answer: c.answer}
+			client := server.start(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			began := time.Now()
+			_ = upload(ctx, client, "a1", c.body(cancel), c.size)
+			assert.Assert(t, time.Since(began) < time.Second, "waited for the rest of the body")
+			err := upload(t.Context(), client, "a2", nil, 0)
+			assert.Assert(t, err == nil || request.AsRefusal(err).Outcome == request.NotRun, "%v", err)
+			assert.Equal(t, server.connections.Load(), c.connections)
+			assert.Equal(t, server.foreign.Load(), int64(0))
+		})
+	}
+}
+
+// TestBrokenBodyDoesNotWait guards against a call that holds its backend server, and the
+// caller's place, until its deadline although the caller has left in the middle of the body.
+func TestBrokenBodyDoesNotWait(t *testing.T) {
+	server := &earlyServer{}
+	client := server.start(t)
+	began := time.Now()
+	err := upload(t.Context(), client, "a1", brokenBody(func() error { return errCallerLeft }), uploadBytes)
+	assert.Equal(t, request.AsRefusal(err).Outcome, request.Unknown)
+	assert.Assert(t, time.Since(began) < time.Second)
+}
