Log a server as not in use only if it has not reported

A report that came before the first view made restoreBackend log that the server was not in use, which it was. No other behaviour changes; the tests of node pass.

--- a/node/hosted_backend.go
+++ b/node/hosted_backend.go
@@ -79,20 +79,27 @@
 		if member.VM != h.config.VM || member.Backend == nil {
 			continue
 		}
-		if !member.Backend.Draining && (h.endedInstance == "" || member.Backend.Instance != h.endedInstance) {
-			h.logger.Info("backend: not in use before it reports", zap.String("instance", member.Backend.Instance))
-			continue
-		}
-		h.leavingBackend = member.Backend
 		current, reported := h.announced.Current()
-		if !reported {
-			// Published again, as the next process has to learn of it, too.
-			current = announcementOf(*member.Backend)
+		switch {
+		case h.isLeaving(*member.Backend):
+			h.leavingBackend = member.Backend
+			if !reported {
+				// Published again, as the next process has to learn of it, too.
+				current = announcementOf(*member.Backend)
+			}
+			h.applyAnnouncement(current)
+		case !reported:
+			h.logger.Info("backend: not in use before it reports", zap.String("instance", member.Backend.Instance))
 		}
-		h.applyAnnouncement(current)
 	}
 }
 
+// isLeaving reports whether a published backend server was leaving then or has left since;
+// h.backendMu must be held.
+func (h *Hosted) isLeaving(published roster.Backend) bool {
+	return published.Draining || h.endedInstance != "" && published.Instance == h.endedInstance
+}
+
 // announcementOf returns the announcement of a published backend server.
 func announcementOf(published roster.Backend) backend.Announcement {
 	return backend.Announcement{
