--- a/httpconn/body.go
+++ b/httpconn/body.go
@@ -127,8 +127,11 @@
 }
 
 // Close closes the body if it implements io.Closer.
-func (t *trailerReader) Close() error {
-	if closer, ok := t.in.(io.Closer); ok {
+func (t *trailerReader) Close() error { return closeBody(t.in) }
+
+// closeBody closes a body if it implements io.Closer.
+func closeBody(body io.Reader) error {
+	if closer, ok := body.(io.Closer); ok {
 		return closer.Close()
 	}
 	return nil
--- a/httpconn/pipeline.go
+++ b/httpconn/pipeline.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"slices"
 	"sync"
@@ -57,29 +56,18 @@
 	conn.Unwatch()
 	e.response.CopyTo(&ctx.Response)
 	if e.response.IsBodyStream() {
-		// CopyTo does not copy the stream.
-		body := &earlyBody{Reader: e.response.BodyStream(), cancel: e.cancel}
-		ctx.Response.SetBodyStream(body, e.response.Header.ContentLength())
+		// CopyTo does not copy the stream, whose end is that of the request.
+		body := e.response.BodyStream()
+		finish := func() {
+			_ = closeBody(body) // the answer is written
+			e.cancel()
+		}
+		ctx.Response.SetBodyStream(&closingReader{in: body, finish: finish}, e.response.Header.ContentLength())
 		return
 	}
 	e.cancel()
 }
 
-// earlyBody is the body of an answer. Its end is that of the request.
-type earlyBody struct {
-	io.Reader
-	cancel context.CancelFunc
-}
-
-// Close implements io.Closer.
-func (b *earlyBody) Close() error {
-	defer b.cancel()
-	if closer, ok := b.Reader.(io.Closer); ok {
-		return closer.Close()
-	}
-	return nil
-}
-
 // PipelineConfig configures ListenPipelined.
 type PipelineConfig struct {
 	// IdleTimeout closes idle connections, if it is not zero.
