Remove checks of refused bodies that never held

RequestCtx.IsBodyStream is about the response's body, which is no stream after a refusal, so that the connection was never closed here. The server closes it by itself where the rest of a body is unread, and delivers the refusal first (TestCloseDeliversAnswer).

--- a/backend/server.go
+++ b/backend/server.go
@@ -122,9 +122,6 @@
 
 func (s *Server) refuse(ctx *fasthttp.RequestCtx, cause request.Cause) {
 	httpconn.WriteRefusal(ctx, request.Refuse(cause, request.NotRun, 0))
-	if ctx.IsBodyStream() {
-		ctx.SetConnectionClose()
-	}
 }
 
 func (s *Server) makeCall(ctx *fasthttp.RequestCtx, live *LiveCall) (*request.Call, request.Cause) {
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -214,10 +214,6 @@
 			refusal.Outcome = request.Unknown
 		}
 		s.config.Dialect.Refuse(ctx, refusal)
-		// The rest of a refused body isn't read.
-		if ctx.IsBodyStream() {
-			ctx.SetConnectionClose()
-		}
 		s.record(call, refusal.Cause.Status(), refusal, start)
 		return
 	}
