Share the accept loops, servers and request lines of tests; unwrap TLS in one place

ErrNoHalfClose, which nobody saw, is errors.ErrUnsupported as in httpconn; exchange.sentBody is a value, so that it needs no check for nil.

--- a/backend/client.go
+++ b/backend/client.go
@@ -124,8 +124,8 @@
 	receivedOther bool
 	// sent is set once the request was written to its end.
 	sent bool
-	// sentBody is the call's body; nil if it has none.
-	sentBody *sentBody
+	// sentBody is the call's body, if it has one.
+	sentBody sentBody
 	liveCall *LiveCall
 	end      func()
 	stop     func() bool
@@ -137,7 +137,7 @@
 
 func (e *exchange) run(call *request.Call, token string) (*request.Answer, error) {
 	if err := e.send(call, token); err != nil {
-		if e.sentBody != nil && e.sentBody.broken {
+		if e.sentBody.broken {
 			// The server may wait for the rest: only an answer that is already there counts.
 			_ = e.conn.conn.SetReadDeadline(time.Now().Add(maxDrainTime))
 		}
@@ -174,8 +174,8 @@
 		}
 	}
 	if call.Body != nil {
-		e.sentBody = &sentBody{Reader: httpconn.WithTrailers(call.Body, call.Trailers, header)}
-		out.SetBodyStream(e.sentBody, int(call.BodySize))
+		e.sentBody.Reader = httpconn.WithTrailers(call.Body, call.Trailers, header)
+		out.SetBodyStream(&e.sentBody, int(call.BodySize))
 	}
 	if err := out.Write(e.conn.writer); err != nil {
 		return err
--- a/backend/cut_answer_test.go
+++ b/backend/cut_answer_test.go
@@ -33,39 +33,25 @@
 // connection or resets it.
 func serveCut(t *testing.T, response string, resets bool) netip.AddrPort {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { assert.Check(t, listener.Close()) })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = http.ReadRequest(bufio.NewReader(conn))
-			_, _ = io.WriteString(conn, response)
-			if resets {
-				_ = conn.(*net.TCPConn).SetLinger(0)
-			}
-			_ = conn.Close()
+	return acceptAll(t, func(conn net.Conn) {
+		_, _ = http.ReadRequest(bufio.NewReader(conn))
+		_, _ = io.WriteString(conn, response)
+		if resets {
+			_ = conn.(*net.TCPConn).SetLinger(0)
 		}
-	}()
-	return netip.MustParseAddrPort(listener.Addr().String())
+		_ = conn.Close()
+	})
 }
 
 // receiveCut sends a call and returns the body of a success that reads as whole, and
 // whether there is one.
 func receiveCut(t *testing.T, address netip.AddrPort) (body string, whole bool) {
 	t.Helper()
-	client := NewClient(ClientConfig{Tokens: NewTokens(), Dialect: testDialect, Announced: func() (Announcement, bool) {
-		return Announcement{Service: "orders", Address: address, Connections: 1}, true
-	}})
-	defer client.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	call := &request.Call{Service: "orders", Method: http.MethodGet, URI: []byte("/"), Host: "h", AttemptID: "a1", Idempotent: true}
+	call := &request.Call{Service: "tracking", Method: http.MethodGet, URI: []byte("/"), Host: "h", AttemptID: "a1", Idempotent: true}
 	call.Context.Deadline = time.Now().Add(5 * time.Second)
-	answer, err := client.Serve(ctx, call)
+	answer, err := newDialectClient(t, address).Serve(ctx, call)
 	if err != nil {
 		assert.Check(t, request.AsRefusal(err).Outcome == request.Unknown, "%v", err)
 		return "", false
--- a/backend/repeated_refusal_test.go
+++ b/backend/repeated_refusal_test.go
@@ -43,6 +43,12 @@
 
 // startRawServer starts a server and returns a client of it.
 func startRawServer(t *testing.T, s *rawServer) *Client {
+	t.Helper()
+	return newDialectClient(t, acceptAll(t, s.serve))
+}
+
+// acceptAll serves each connection to a new address until the test ends.
+func acceptAll(t *testing.T, serve func(net.Conn)) netip.AddrPort {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -53,10 +59,15 @@
 			if err != nil {
 				return
 			}
-			go s.serve(conn)
+			go serve(conn)
 		}
 	}()
-	address := netip.MustParseAddrPort(listener.Addr().String())
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// newDialectClient returns a client of the server at an address, which speaks testDialect.
+func newDialectClient(t *testing.T, address netip.AddrPort) *Client {
+	t.Helper()
 	client := NewClient(ClientConfig{Tokens: NewTokens(), Dialect: testDialect, UnsafeIdleTimeout: time.Minute, Announced: func() (Announcement, bool) {
 		return Announcement{Service: "tracking", Address: address, Slots: 10, Connections: 10}, true
 	}})
--- a/backend/unsent_body_test.go
+++ b/backend/unsent_body_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -54,33 +53,12 @@
 	}
 }
 
-func (s *earlyServer) start(t *testing.T) *Client {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { assert.Check(t, listener.Close()) })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn)
-		}
-	}()
-	client := NewClient(ClientConfig{Tokens: NewTokens(), Dialect: testDialect, UnsafeIdleTimeout: time.Minute, Announced: func() (Announcement, bool) {
-		return Announcement{Service: "orders", Address: netip.MustParseAddrPort(listener.Addr().String()), Connections: 10}, true
-	}})
-	t.Cleanup(client.Close)
-	return client
-}
-
-// upload sends an attempt with a body and reads the answer to its end, if there is one.
-func upload(ctx context.Context, client *Client, attempt string, body io.Reader, size int64) error {
+// upload sends the attempt a1 with a body and reads the answer to its end, if there is one.
+func upload(ctx context.Context, client *Client, body io.Reader, size int64) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
-	call := &request.Call{Service: "orders", Method: http.MethodPost, URI: []byte("/"), Host: "h", AttemptID: attempt, Body: body, BodySize: size}
-	call.Headers = []request.Header{{Name: []byte(testDialect.AttemptID), Value: []byte(attempt)}}
+	call := &request.Call{Service: "tracking", Method: http.MethodPost, URI: []byte("/"), Host: "h", AttemptID: "a1", Body: body, BodySize: size}
+	call.Headers = []request.Header{{Name: []byte(testDialect.AttemptID), Value: []byte("a1")}}
 	call.Context.Deadline = time.Now().Add(2 * time.Second)
 	answer, err := client.Serve(ctx, call)
 	if err != nil {
@@ -142,13 +120,13 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			server := &earlyServer{answer: c.answer}
-			client := server.start(t)
+			client := newDialectClient(t, acceptAll(t, server.serve))
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			began := time.Now()
-			_ = upload(ctx, client, "a1", c.body(cancel), c.size)
+			_ = upload(ctx, client, c.body(cancel), c.size)
 			assert.Assert(t, time.Since(began) < time.Second, "waited for the rest of the body")
-			err := upload(t.Context(), client, "a2", nil, 0)
+			_, err := attemptOf(t, client, "a2")
 			assert.Assert(t, err == nil || request.AsRefusal(err).Outcome == request.NotRun, "%v", err)
 			assert.Equal(t, server.connections.Load(), c.connections)
 			assert.Equal(t, server.foreign.Load(), int64(0))
@@ -160,9 +138,9 @@
 // caller's place, until its deadline although the caller has left in the middle of the body.
 func TestBrokenBodyDoesNotWait(t *testing.T) {
 	server := &earlyServer{}
-	client := server.start(t)
+	client := newDialectClient(t, acceptAll(t, server.serve))
 	began := time.Now()
-	err := upload(t.Context(), client, "a1", brokenBody(func() error { return errCallerLeft }), uploadBytes)
+	err := upload(t.Context(), client, brokenBody(func() error { return errCallerLeft }), uploadBytes)
 	assert.Equal(t, request.AsRefusal(err).Outcome, request.Unknown)
 	assert.Assert(t, time.Since(began) < time.Second)
 }
--- a/caller/close_test.go
+++ b/caller/close_test.go
@@ -4,22 +4,17 @@
 	"bufio"
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/valyala/fasthttp"
-	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
-	"auburngap/bundle"
-	"auburngap/httpconn"
 	"auburngap/request"
 )
 
@@ -34,47 +29,22 @@
 	uploadStart = 64 << 10
 )
 
-// newLongAnswerServer serves answers of longAnswerBytes on /read and /write, which does
-// not read its requests' bodies. It returns the address.
-func newLongAnswerServer(t *testing.T) (*Server, string) {
+// startLongAnswerServer serves answers of longAnswerBytes and reads no bodies of requests.
+func startLongAnswerServer(t *testing.T) (s *Server, address string) {
 	t.Helper()
-	index := bundle.NewIndex(&bundle.Bundle{Version: 1, Routes: []bundle.Route{
-		{Name: "read", Prefix: "/read", Service: "catalogue", Open: true, Idempotent: true},
-		{Name: "write", Prefix: "/write", Service: "orders", Open: true},
-	}})
-	s := New(Config{
-		Bundle: func() *bundle.Index { return index },
-		Next: request.HandlerFunc(func(context.Context, *request.Call) (*request.Answer, error) {
-			body := bytes.Repeat([]byte("answer--"), longAnswerBytes/8)
-			return &request.Answer{Status: http.StatusOK, Body: io.NopCloser(bytes.NewReader(body)), BodySize: int64(len(body))}, nil
-		}),
-		Logger:  zap.NewNop(),
-		Dialect: &httpconn.Dialect{AttemptID: "Attempt", Timeout: "Timeout", WriteRefusal: httpconn.WriteRefusal},
-	})
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	done := make(chan error, 1)
-	go func() { done <- s.Serve(listener) }()
-	t.Cleanup(func() {
-		assert.NilError(t, s.Shutdown(context.Background()))
-		assert.NilError(t, <-done)
-	})
-	return s, listener.Addr().String()
+	return startServer(t, request.HandlerFunc(func(context.Context, *request.Call) (*request.Answer, error) {
+		body := bytes.Repeat([]byte("answer--"), longAnswerBytes/8)
+		return &request.Answer{Status: http.StatusOK, Body: io.NopCloser(bytes.NewReader(body)), BodySize: int64(len(body))}, nil
+	}))
 }
 
 // dialSlowly connects a caller whose receive buffer is smaller than a long answer.
 func dialSlowly(t *testing.T, address string) net.Conn {
 	t.Helper()
-	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		var failed error
-		err := raw.Control(func(fd uintptr) {
-			failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, slowWindowBytes)
-		})
-		return errors.Join(err, failed)
-	}}
-	conn, err := dialer.DialContext(t.Context(), "tcp", address)
+	conn, err := net.Dial("tcp", address)
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
+	assert.NilError(t, conn.(*net.TCPConn).SetReadBuffer(slowWindowBytes))
 	assert.NilError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
 	return conn
 }
@@ -110,7 +80,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			s, address := newLongAnswerServer(t)
+			s, address := startLongAnswerServer(t)
 			if c.drains {
 				s.Drain()
 			}
@@ -140,7 +110,7 @@
 // TestStopWaitsForLastAnswer guards against a process that ends while a caller still
 // receives its last answer: the connection counts as busy until the caller has closed it.
 func TestStopWaitsForLastAnswer(t *testing.T) {
-	s, address := newLongAnswerServer(t)
+	s, address := startLongAnswerServer(t)
 	s.Drain()
 	conn := dialSlowly(t, address)
 	_, err := io.WriteString(conn, "GET /read HTTP/1.1\r\nHost: h\r\n\r\n")
--- a/caller/drain_test.go
+++ b/caller/drain_test.go
@@ -23,35 +23,42 @@
 // released.
 type drainedServer struct {
 	*Server
-	t        *testing.T
-	listener net.Listener
-	began    chan string
-	release  chan struct{}
+	t       *testing.T
+	address string
+	began   chan string
+	release chan struct{}
 }
 
 func newDrainedServer(t *testing.T) *drainedServer {
 	t.Helper()
 	s := &drainedServer{t: t, began: make(chan string, 16), release: make(chan struct{})}
+	s.Server, s.address = startServer(t, request.HandlerFunc(s.handle))
+	return s
+}
+
+// startServer serves /read, whose requests may be repeated, and /write on a real
+// connection. It returns the server and its address.
+func startServer(t *testing.T, next request.Handler) (s *Server, address string) {
+	t.Helper()
 	index := bundle.NewIndex(&bundle.Bundle{Version: 1, Routes: []bundle.Route{
 		{Name: "read", Prefix: "/read", Service: "catalogue", Open: true, Idempotent: true},
 		{Name: "write", Prefix: "/write", Service: "orders", Open: true},
 	}})
-	s.Server = New(Config{
+	s = New(Config{
 		Bundle:  func() *bundle.Index { return index },
-		Next:    request.HandlerFunc(s.handle),
+		Next:    next,
 		Logger:  zap.NewNop(),
 		Dialect: &httpconn.Dialect{AttemptID: "Attempt", Timeout: "Timeout", WriteRefusal: httpconn.WriteRefusal},
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	s.listener = listener
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(listener) }()
 	t.Cleanup(func() {
 		assert.NilError(t, s.Shutdown(context.Background()))
 		assert.NilError(t, <-done)
 	})
-	return s
+	return s, listener.Addr().String()
 }
 
 func (s *drainedServer) handle(ctx context.Context, call *request.Call) (*request.Answer, error) {
@@ -81,7 +88,7 @@
 // sendRaw is send without the wait.
 func (s *drainedServer) sendRaw(paths ...string) (net.Conn, *bufio.Reader) {
 	s.t.Helper()
-	conn, err := net.Dial("tcp", s.listener.Addr().String())
+	conn, err := net.Dial("tcp", s.address)
 	assert.NilError(s.t, err)
 	s.t.Cleanup(func() { _ = conn.Close() })
 	assert.NilError(s.t, conn.SetDeadline(time.Now().Add(5*time.Second)))
--- a/httpconn/idle.go
+++ b/httpconn/idle.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"auburngap/tcpconn"
 )
 
 const (
@@ -94,10 +96,7 @@
 
 // withDescriptor runs f with the descriptor of a connection, which may use TLS.
 func withDescriptor(conn net.Conn, f func(fd int) error) error {
-	if secured, ok := conn.(interface{ NetConn() net.Conn }); ok {
-		conn = secured.NetConn()
-	}
-	source, ok := conn.(syscall.Conn)
+	source, ok := tcpconn.Raw(conn).(syscall.Conn)
 	if !ok {
 		return errors.ErrUnsupported
 	}
--- a/peer/blocked_test.go
+++ b/peer/blocked_test.go
@@ -25,23 +25,13 @@
 // nothing more, as if it were frozen.
 func startBlockedPeer(t *testing.T) netip.AddrPort {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { assert.Check(t, listener.Close()) })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			assert.Check(t, conn.(*net.TCPConn).SetReadBuffer(4<<10))
-			_, err = readHello(conn)
-			assert.Check(t, err)
-			assert.Check(t, sendHello(conn, identity("frozen")))
-			t.Cleanup(func() { _ = conn.Close() })
-		}
-	}()
-	return netip.MustParseAddrPort(listener.Addr().String())
+	return acceptAll(t, func(conn net.Conn) {
+		assert.Check(t, conn.(*net.TCPConn).SetReadBuffer(4<<10))
+		_, err := readHello(conn)
+		assert.Check(t, err)
+		assert.Check(t, sendHello(conn, identity("frozen")))
+		t.Cleanup(func() { _ = conn.Close() })
+	})
 }
 
 // blockSession sends calls with large bodies to a node until its connection takes no more.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -37,6 +37,24 @@
 	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
+// acceptAll serves each connection to a new address until the test ends.
+func acceptAll(t *testing.T, serve func(net.Conn)) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.Check(t, listener.Close()) })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
 func newPool(t *testing.T, config *tls.Config) *Pool {
 	t.Helper()
 	pool := NewPool(PoolConfig{Self: identity("client"), TLS: config, Logger: zap.NewNop()})
--- a/peer/session_close_test.go
+++ b/peer/session_close_test.go
@@ -34,9 +34,7 @@
 // returns its address.
 func startSlowLink(t *testing.T, node netip.AddrPort) netip.AddrPort {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { assert.Check(t, listener.Close()) })
+	// The buffer is set before the connection is made, so that its window is never larger.
 	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
 		var failed error
 		err := raw.Control(func(fd uintptr) {
@@ -44,36 +42,28 @@
 		})
 		return errors.Join(err, failed)
 	}}
-	go func() {
-		for {
-			near, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			far, err := dialer.Dial("tcp", node.String())
-			if err != nil { // the node has ended
-				_ = near.Close()
-				continue
-			}
-			t.Cleanup(func() { _, _ = near.Close(), far.Close() })
-			go func() {
-				_, _ = io.Copy(far, near)
-				_ = far.(*net.TCPConn).CloseWrite()
-			}()
-			go copySlowly(near, far)
+	return acceptAll(t, func(near net.Conn) {
+		defer func() { _ = near.Close() }()
+		far, err := dialer.Dial("tcp", node.String())
+		if err != nil {
+			return // the node has ended
 		}
-	}()
-	return netip.MustParseAddrPort(listener.Addr().String())
+		defer func() { _ = far.Close() }()
+		go func() {
+			_, _ = io.Copy(far, near)
+			_ = far.(*net.TCPConn).CloseWrite()
+		}()
+		copySlowly(near, far)
+	})
 }
 
-// copySlowly copies until the source ends, and then ends the destination.
+// copySlowly copies until the source ends.
 func copySlowly(to, from net.Conn) {
 	buffer := make([]byte, slowLinkBytes)
 	for {
 		n, err := from.Read(buffer)
 		_, _ = to.Write(buffer[:n])
 		if err != nil {
-			_ = to.Close()
 			return
 		}
 		time.Sleep(slowLinkPause)
--- a/peer/waiting_test.go
+++ b/peer/waiting_test.go
@@ -19,24 +19,16 @@
 func mutableForwarder(t *testing.T, to netip.AddrPort) (address netip.AddrPort, mute *atomic.Bool) {
 	t.Helper()
 	mute = &atomic.Bool{}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { assert.Check(t, listener.Close()) })
-	go func() {
-		for {
-			client, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			server, err := net.Dial("tcp", to.String())
-			if err != nil {
-				return
-			}
-			go forward(client, server, mute)
-			go forward(server, client, mute)
+	address = acceptAll(t, func(client net.Conn) {
+		server, err := net.Dial("tcp", to.String())
+		if err != nil {
+			_ = client.Close()
+			return
 		}
-	}()
-	return netip.MustParseAddrPort(listener.Addr().String()), mute
+		go forward(client, server, mute)
+		forward(server, client, mute)
+	})
+	return address, mute
 }
 
 func forward(to, from net.Conn, mute *atomic.Bool) {
--- a/tcpconn/tcpconn.go
+++ b/tcpconn/tcpconn.go
@@ -7,37 +7,32 @@
 // # Usage
 //
 //	err := tcpconn.CloseGracefully(conn, timeout)
+//	source, ok := tcpconn.Raw(conn).(syscall.Conn)
 package tcpconn
 
 import (
 	"crypto/tls"
+	"errors"
 	"io"
 	"net"
 	"time"
-
-	"github.com/joomcode/errorx"
 )
 
-var errs = errorx.NewNamespace("tcpconn")
-
-// ErrNoHalfClose means that the connection cannot be closed for writing alone.
-var ErrNoHalfClose = errs.NewType("noHalfClose")
-
 // CloseGracefully ends the outgoing side of a connection, and closes the connection once
 // the other side has ended its own, which shows that it has received everything, or after
 // the timeout. What arrives meanwhile is discarded. A connection that is not TCP, with or
 // without TLS, is closed at once.
 func CloseGracefully(conn net.Conn, timeout time.Duration) error {
-	raw := rawConn(conn)
+	raw := Raw(conn)
 	if err := closeWrite(conn, raw); err == nil {
 		discard(raw, timeout)
 	}
 	return conn.Close()
 }
 
-// rawConn returns the connection below TLS, or conn.
-func rawConn(conn net.Conn) net.Conn {
-	if secured, ok := conn.(*tls.Conn); ok {
+// Raw returns the connection below TLS, or conn if it does not use TLS.
+func Raw(conn net.Conn) net.Conn {
+	if secured, ok := conn.(interface{ NetConn() net.Conn }); ok {
 		return secured.NetConn()
 	}
 	return conn
@@ -47,7 +42,7 @@
 func closeWrite(conn, raw net.Conn) error {
 	half, ok := raw.(interface{ CloseWrite() error })
 	if !ok {
-		return ErrNoHalfClose.New("%T", raw)
+		return errors.ErrUnsupported
 	}
 	if secured, ok := conn.(*tls.Conn); ok {
 		// It fails if the handshake is incomplete: there is no session to end then.
