Report no overload of a server whose first calls still run

Callers saw: in TestRollingRestart, with eight copies and four busy loops on 8 cores, 8 requests refused (503 overload, not run) within 46 ms of the start of the traffic.

Cause: a backend server's capacity is its limit over the time for which a call holds its slot, and that time was the slots in use over the calls that ended. A server that was idle and gets calls has slots in use at once and no ended calls. The log of the run, with lines for each change of a level (trial): "level 32768->1157 limit 8 running 0.70 departures 0.050 arrivals 2.224 capacity 0.571": 0.7 of 8 slots in use, 96 of 100 requests shed for the whole service.

Change: while there are spare slots, the throughput is what has started or what has ended, whichever is more. A server that has started all that arrived then reports overload only if its slots are in use. Without spare slots calls start as others end, and nothing changes. The wait expected in the queue uses the same figure.

TestSpareSlotsAdmitAll failed before (level 3379 of 32768 with 4 of 8 slots in use) and passes.

--- a/admission/closedloop_test.go
+++ b/admission/closedloop_test.go
@@ -15,7 +15,9 @@
 	// duration returns the duration of a call that starts now.
 	duration func(now time.Time) time.Duration
 	// idle is the number of callers that send a call at the next step.
-	idle    int
+	idle int
+	// paused keeps the callers whose calls have ended from sending others.
+	paused  bool
 	running map[*Ticket]time.Time
 	refused int
 }
@@ -33,7 +35,9 @@
 		for ticket, due := range c.running {
 			if !due.After(c.now) {
 				delete(c.running, ticket)
-				c.idle++
+				if !c.paused {
+					c.idle++
+				}
 				c.apply(c.limiter.Finish(ticket, c.now, Result{Kind: Succeeded}))
 			}
 		}
@@ -89,3 +93,29 @@
 		assert.Equal(t, loop.limiter.Limit(), 8, "%d callers", callers)
 	}
 }
+
+// TestSpareSlotsAdmitAll has a server that was idle get calls on at most three quarters of
+// its slots. It guards against the fault that such a server reported itself overloaded
+// because its first calls still ran: they held slots, and few calls had ended before.
+func TestSpareSlotsAdmitAll(t *testing.T) {
+	const slots = 8
+	idleTimes := []time.Duration{0, 100 * time.Millisecond, 500 * time.Millisecond, 700 * time.Millisecond, time.Second}
+	durations := []time.Duration{20 * time.Millisecond, 150 * time.Millisecond, 400 * time.Millisecond, 2 * time.Second}
+	for _, idle := range idleTimes {
+		for _, duration := range durations {
+			for callers := 1; callers <= slots*3/4; callers++ {
+				loop := newClosedLoop(New(Config{Slots: slots, StartFraction: 1}), 1, func(time.Time) time.Duration { return 10 * time.Millisecond })
+				loop.paused = true
+				loop.run(20*time.Millisecond + idle)
+				loop.paused = false
+				loop.duration = func(time.Time) time.Duration { return duration }
+				loop.idle = callers
+				for range 3000 {
+					loop.run(time.Millisecond)
+					level := loop.limiter.Level(loop.now)
+					assert.Equal(t, level, FullLevel, "%s idle, calls of %s, %d callers, after %s", idle, duration, callers, loop.now.Sub(epoch))
+				}
+			}
+		}
+	}
+}
--- a/admission/levelcontroller.go
+++ b/admission/levelcontroller.go
@@ -18,10 +18,10 @@
 	// spareOccupancy is the fraction of the slots in use below which the server has spare
 	// capacity for requests whose demand cannot be inferred from an admitted fraction.
 	spareOccupancy = 0.9
-	// minReadableDepartures is the smallest number of departures per window from which the
+	// minReadableThroughput is the smallest number of calls per window from which the
 	// capacity of a server with spare slots can be inferred. A server without spare
 	// slots that ends no calls has no capacity.
-	minReadableDepartures = 0.05
+	minReadableThroughput = 0.05
 )
 
 // levelController decides the admission level of one backend server. It estimates the
@@ -39,6 +39,8 @@
 	admittedFractions [request.Priorities]float64
 	// demand is the estimated number of arrivals per window without shedding.
 	demand [request.Priorities]float64
+	// throughput is the number of calls per window that the slots in use stand for.
+	throughput float64
 
 	windowEnd, lastAdvance time.Time
 	window                 levelCounts
@@ -46,8 +48,8 @@
 
 // levelCounts are the counts of one window.
 type levelCounts struct {
-	arrivals   [request.Priorities]float64
-	departures float64
+	arrivals           [request.Priorities]float64
+	starts, departures float64
 	// slotTime is the integral over time of the number of slots in use, in slot seconds.
 	slotTime float64
 }
@@ -62,6 +64,8 @@
 
 func (l *levelController) offered(priority request.Priority) { l.window.arrivals[priority]++ }
 
+func (l *levelController) started() { l.window.starts++ }
+
 func (l *levelController) departed() { l.window.departures++ }
 
 // advance accounts for the slots in use up to now and ends the window when it is due.
@@ -83,6 +87,7 @@
 	decay := math.Exp(-length.Seconds() / levelAveragingTime.Seconds())
 	gain := (1 - decay) * float64(levelWindow) / float64(length)
 	a := &l.averages
+	a.starts = decay*a.starts + gain*l.window.starts
 	a.departures = decay*a.departures + gain*l.window.departures
 	a.slotTime = decay*a.slotTime + gain*l.window.slotTime
 	hasSpare := a.slotTime < spareOccupancy*float64(limit)*levelWindow.Seconds()
@@ -99,11 +104,16 @@
 		}
 	}
 	l.window = levelCounts{}
-	if hasSpare && a.departures < minReadableDepartures {
+	l.throughput = a.departures
+	if hasSpare {
+		// After a rise of the load the calls in progress hold slots and have not ended yet.
+		l.throughput = max(a.departures, a.starts)
+	}
+	if hasSpare && l.throughput < minReadableThroughput {
 		l.level = FullLevel
 		return
 	}
-	capacity := float64(limit) * levelWindow.Seconds() * a.departures / a.slotTime
+	capacity := float64(limit) * levelWindow.Seconds() * l.throughput / a.slotTime
 	l.level = l.levelForRate(l.margin * capacity)
 }
 
@@ -115,10 +125,10 @@
 // slotTime returns how long a call holds its slot, including its calls to other
 // services; zero if unknown.
 func (l *levelController) slotTime() time.Duration {
-	if l.averages.departures < minReadableDepartures {
+	if l.throughput < minReadableThroughput {
 		return 0
 	}
-	return time.Duration(l.averages.slotTime / l.averages.departures * float64(time.Second))
+	return time.Duration(l.averages.slotTime / l.throughput * float64(time.Second))
 }
 
 // levelForRate returns the level at which the admitted demand adds up to the rate.
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -276,6 +276,7 @@
 	t.state = ticketRunning
 	t.started = now
 	l.inFlight++
+	l.levelController.started()
 	if l.inFlight >= l.limit.value() {
 		l.limit.saturated = true
 	}
