Probe a lower limit only while the limit is used on average

Cause: a limit that was reached for a moment in a window counted as fully used, so that its server was probed with a lower one. Calls that come in bursts reach the limit with half of it in use on average. The probe compares the latency before and after a cut, and with so few calls running, chance decides: each probe that found shorter calls kept the lower limit, and was followed by the next.

The average over 500 ms that growth uses lags behind a change of the limit, so each window has its own.

Limits of servers that announce more slots than they have still come down (TestLimitFollowsServer, TestLimitFollowsLostSlots, unchanged).

The users' platform is not touched: its limits are fixed.

--- a/admission/closedloop_test.go
+++ b/admission/closedloop_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -119,3 +120,28 @@
 		}
 	}
 }
+
+// TestBurstsKeepLimit has calls come in bursts, with pauses in between, to a server that is
+// short of processor time for moments. It guards against the fault that a limit that was
+// reached for moments, with half of it in use on average, counted as fully used: probes
+// that happened to find shorter calls kept the lower limit, until bursts were refused.
+func TestBurstsKeepLimit(t *testing.T) {
+	const period, phase = 10 * time.Millisecond, 150 * time.Millisecond
+	for _, burst := range []int{8, 10} {
+		for seed := range uint64(10) {
+			random := rand.New(rand.NewPCG(seed, uint64(burst)))
+			loop := newClosedLoop(New(Config{Slots: 16}), 0, nil)
+			loop.paused = true
+			var duration time.Duration
+			loop.duration = func(time.Time) time.Duration { return duration }
+			for i := range 20 * time.Second / period {
+				if i%(phase/period) == 0 {
+					duration = time.Duration(1+random.IntN(6)) * time.Millisecond
+				}
+				loop.idle = burst
+				loop.run(period)
+				assert.Equal(t, loop.refused, 0, "bursts of %d, seed %d, after %s, limit %d", burst, seed, loop.now.Sub(epoch), loop.limiter.Limit())
+			}
+		}
+	}
+}
--- a/admission/levelcontroller.go
+++ b/admission/levelcontroller.go
@@ -44,6 +44,8 @@
 
 	windowEnd, lastAdvance time.Time
 	window                 levelCounts
+	// totalSlotTime is the sum of levelCounts.slotTime over all windows so far.
+	totalSlotTime float64
 }
 
 // levelCounts are the counts of one window.
@@ -74,7 +76,9 @@
 		l.lastAdvance, l.windowEnd = now, now.Add(levelWindow)
 		return
 	}
-	l.window.slotTime += float64(inFlight) * now.Sub(l.lastAdvance).Seconds()
+	slotTime := float64(inFlight) * now.Sub(l.lastAdvance).Seconds()
+	l.window.slotTime += slotTime
+	l.totalSlotTime += slotTime
 	l.lastAdvance = now
 	if now.Before(l.windowEnd) {
 		return
@@ -122,6 +126,11 @@
 	return l.averages.slotTime / levelWindow.Seconds()
 }
 
+// usage returns the recent use of the server.
+func (l *levelController) usage() usage {
+	return usage{meanRunning: l.meanRunning(), slotTime: l.totalSlotTime, shedding: l.level < FullLevel}
+}
+
 // slotTime returns how long a call holds its slot, including its calls to other
 // services; zero if unknown.
 func (l *levelController) slotTime() time.Duration {
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -99,12 +99,17 @@
 type usage struct {
 	// meanRunning is the mean number of running calls.
 	meanRunning float64
+	// slotTime is the time for which calls have held slots, in slot seconds since the
+	// limiter was created.
+	slotTime float64
 	// shedding is set while entry nodes are asked to shed requests.
 	shedding bool
 }
 
 type window struct {
-	start            time.Time
+	start time.Time
+	// slotTimeBefore is usage.slotTime at the start.
+	slotTimeBefore   float64
 	samples, refused int
 	sum              time.Duration
 	// saturated is set once the limit has been fully used.
@@ -130,7 +135,7 @@
 		return
 	}
 	if l.start.IsZero() {
-		l.start = now
+		l.start, l.slotTimeBefore = now, use.slotTime
 	}
 	switch result.Kind {
 	case Succeeded:
@@ -148,7 +153,7 @@
 	if l.current != before {
 		l.changedAt = now
 	}
-	l.window = window{start: now}
+	l.window = window{start: now, slotTimeBefore: use.slotTime}
 }
 
 // isWindowComplete reports whether the window is long enough for a decision.
@@ -174,15 +179,16 @@
 	if !l.isSlow() {
 		l.probe.fastAt = now
 	}
-	if !l.saturated {
+	fullyUsed := l.isFullyUsed(now, use)
+	if !fullyUsed {
 		l.probe.dueAt = now.Add(probeAfter)
 	}
 	switch {
 	case l.probe.phase == afterCut:
 		l.endProbe()
 	case l.probe.phase == beforeCut:
-		l.startProbeCut(use)
-	case l.saturated && l.isProbeDue(now):
+		l.startProbeCut(fullyUsed, use)
+	case fullyUsed && l.isProbeDue(now):
 		l.probe.phase = beforeCut
 	default:
 		l.adjustBaseline()
@@ -213,7 +219,14 @@
 	return l.baseline > 0 && float64(l.mean) > latencyTolerance*float64(l.baseline)
 }
 
-// isProbeDue reports whether the limit should be probed.
+// isFullyUsed reports whether the limit was reached in this window, and not only for
+// moments: calls that come in bursts reach it while there is spare capacity.
+func (l *concurrencyLimit) isFullyUsed(now time.Time, use usage) bool {
+	meanRunning := (use.slotTime - l.slotTimeBefore) / now.Sub(l.start).Seconds()
+	return l.saturated && meanRunning > spareUsage*l.current
+}
+
+// isProbeDue reports whether a fully used limit should be probed.
 func (l *concurrencyLimit) isProbeDue(now time.Time) bool {
 	if l.probe.dueAt.IsZero() {
 		l.probe.dueAt = now.Add(probeAfter)
@@ -225,9 +238,9 @@
 }
 
 // startProbeCut lowers the limit for a probe, unless the limit is no longer fully used.
-func (l *concurrencyLimit) startProbeCut(use usage) {
+func (l *concurrencyLimit) startProbeCut(fullyUsed bool, use usage) {
 	l.probe.phase = noProbe
-	if !l.saturated {
+	if !fullyUsed {
 		return
 	}
 	l.probe.phase, l.probe.limit, l.probe.mean = afterCut, l.current, l.mean
@@ -245,7 +258,7 @@
 	l.probe.phase = noProbe
 	l.hasShrunk = l.probe.hasShrunk
 	l.restoreLimit()
-	l.changedAt, l.window = now, window{start: now}
+	l.changedAt, l.window = now, window{}
 	return true
 }
 
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -153,7 +153,7 @@
 		result.Own = now.Sub(t.started)
 	}
 	if !l.config.Fixed {
-		l.limit.observe(now, t.started, result, usage{meanRunning: l.levelController.meanRunning(), shedding: l.levelController.level < FullLevel})
+		l.limit.observe(now, t.started, result, l.levelController.usage())
 	}
 	l.releaseSlot(t)
 	l.startQueued(now)
