Take a status outside 200 to 599 for a broken answer

Cause: the library takes the status 0 for 200, and nothing checked the others.

Change: an answer with another status than 200 to 599 is read as a broken one: 502, may have run, the connection closed. 000 is told from 200 by the bytes before they are read. Interim answers (102, 103) are skipped as before.

Not covered: 000 behind an interim answer.

--- a/backend/client.go
+++ b/backend/client.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -16,6 +17,12 @@
 	"auburngap/request"
 )
 
+// maxStatus is the highest status that an answer may have.
+const maxStatus = 599
+
+// errBadStatus is the error of an answer whose status is not one of a final answer.
+var errBadStatus = errors.New("status is not from 200 to 599")
+
 // ClientConfig configures a Client.
 type ClientConfig struct {
 	Tokens *Tokens
@@ -215,9 +222,13 @@
 	e.response = response
 	response.StreamBody = true
 	response.SkipBody = true
+	hasStatus := !e.readsStatusZero()
 	if err := response.ReadLimitBody(e.conn.reader, 0); err != nil {
 		return err
 	}
+	if status := response.StatusCode(); !hasStatus || status < http.StatusOK || status > maxStatus {
+		return errBadStatus
+	}
 	if call.Method == fasthttp.MethodHead || isBodyless(response.StatusCode()) || e.isRefusal(call) {
 		return nil
 	}
@@ -225,6 +236,14 @@
 	return response.ReadBody(e.conn.reader, 0)
 }
 
+// readsStatusZero reports whether the next answer has the status 000, which the library
+// takes for 200.
+func (e *exchange) readsStatusZero() bool {
+	// An answer that is shorter fails when it is read.
+	start, _ := e.conn.reader.Peek(len("HTTP/1.1 000"))
+	return bytes.HasSuffix(start, []byte(" 000"))
+}
+
 // isBodyless reports whether answers of a status have no body.
 func isBodyless(status int) bool {
 	return status < http.StatusOK || status == http.StatusNoContent || status == http.StatusNotModified
