Go on accepting connections after an accept has failed

Cause: each server of a node (callers, other nodes, backend servers, operators, reports, metrics) ended at the first accept that failed, and the process with it.

Change: tcpconn.Listen, which all of them use, tries again 20 ms later after an error that passes (no descriptors or memory, a connection already gone), and logs it once a second and address at most, with the number of failures. The line is counted like all others (events{event}).

TestHostedOutlivesDescriptors (whole processes, 300 idle connections at a node that may open 60 more descriptors): before, the node ended and the open connection got "unexpected EOF"; now it is answered all the while, and new ones once the idle ones are closed. TestAcceptOutlivesErrors, TestAcceptEnds.

--- a/node/hosted.go
+++ b/node/hosted.go
@@ -155,7 +155,7 @@
 
 // Run serves until the context ends, then drains and returns.
 func (h *Hosted) Run(ctx context.Context) error {
-	listeners, err := listenAll(h.config.CallerAddress, h.config.PeerAddress)
+	listeners, err := listenAll(h.logger, h.config.CallerAddress, h.config.PeerAddress)
 	if err != nil {
 		return err
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -29,6 +29,7 @@
 	"auburngap/peer"
 	"auburngap/report"
 	"auburngap/settings"
+	"auburngap/tcpconn"
 )
 
 var (
@@ -102,7 +103,7 @@
 // Run serves until the context ends, then drains and returns.
 func (n *Node) Run(ctx context.Context) error {
 	s := n.config.Settings
-	listeners, err := listenAll(s.CallerAddress, s.PeerListener(), s.BackendAddress, s.ControlAddress)
+	listeners, err := listenAll(n.logger, s.CallerAddress, s.PeerListener(), s.BackendAddress, s.ControlAddress)
 	if err != nil {
 		return err
 	}
@@ -149,10 +150,10 @@
 	return nil
 }
 
-func listenAll(addresses ...netip.AddrPort) ([]net.Listener, error) {
+func listenAll(logger *zap.Logger, addresses ...netip.AddrPort) ([]net.Listener, error) {
 	listeners := make([]net.Listener, 0, len(addresses))
 	for _, address := range addresses {
-		listener, err := net.Listen("tcp", address.String())
+		listener, err := tcpconn.Listen(address, logger)
 		if err != nil {
 			for _, open := range listeners {
 				_ = open.Close()
--- a/tcpconn/tcpconn.go
+++ b/tcpconn/tcpconn.go
@@ -1,4 +1,5 @@
-// Package tcpconn closes TCP connections without losing what was sent on them.
+// Package tcpconn closes TCP connections without losing what was sent on them, and accepts
+// them without giving up at errors that pass.
 //
 // A connection that is closed with unread bytes, or that receives bytes after it was
 // closed, is reset. The other side then loses what it has not received yet, even if it
@@ -8,6 +9,7 @@
 //
 //	err := tcpconn.CloseGracefully(conn, timeout)
 //	source, ok := tcpconn.Raw(conn).(syscall.Conn)
+//	listener, err := tcpconn.Listen(address, logger)
 package tcpconn
 
 import (
