--- /dev/null
+++ b/backend/exchange.go
@@ -0,0 +1,236 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"auburngap/httpconn"
+	"auburngap/request"
+)
+
+// maxStatus is the highest status that an answer may have.
+const maxStatus = 599
+
+// errBadStatus is the error of an answer whose status is not one of a final answer.
+var errBadStatus = errors.New("status is not from 200 to 599")
+
+// exchange is one call on its connection.
+type exchange struct {
+	client         *Client
+	conn           *connection
+	address        netip.AddrPort
+	instance       string
+	maxConnections int
+	// receivedOther is set if the connection delivered an answer to another request.
+	receivedOther bool
+	// sent is set once the request was written to its end.
+	sent bool
+	// sentBody is the call's body, if it has one.
+	sentBody sentBody
+	liveCall *LiveCall
+	end      func()
+	stop     func() bool
+	response *fasthttp.Response
+	body     io.Reader
+	ended    bool
+	finished atomic.Bool
+}
+
+func (e *exchange) run(call *request.Call, token string) (*request.Answer, error) {
+	if err := e.send(call, token); err != nil {
+		if e.sentBody.broken {
+			// The server may wait for the rest: only an answer that is already there counts.
+			_ = e.conn.conn.SetReadDeadline(time.Now().Add(maxDrainTime))
+		}
+		// A server that answered before it read the whole request may have closed
+		// its side of the connection.
+		if receiveErr := e.receive(call); receiveErr != nil {
+			return nil, err
+		}
+		return e.answer(call), nil
+	}
+	if err := e.receive(call); err != nil {
+		return nil, err
+	}
+	return e.answer(call), nil
+}
+
+func (e *exchange) send(call *request.Call, token string) error {
+	out := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(out)
+	header := &out.Header
+	header.SetNoDefaultContentType(true)
+	header.SetMethod(call.Method)
+	header.SetRequestURIBytes(call.URI)
+	header.SetHost(e.address.String())
+	httpconn.AddHeaders(header, call.Headers)
+	if e.client.config.Dialect != nil {
+		e.writeDialect(header, call)
+	} else {
+		header.Set(httpconn.HeaderToken, token)
+		header.Set(httpconn.HeaderRequestID, call.Context.ID.String())
+		header.Set(httpconn.HeaderTimeout, timeLeft(call))
+		if len(call.IdempotencyKey) > 0 {
+			header.SetBytesV(httpconn.HeaderIdempotencyKey, call.IdempotencyKey)
+		}
+	}
+	if call.Body != nil {
+		e.sentBody.Reader = httpconn.WithTrailers(call.Body, call.Trailers, header)
+		out.SetBodyStream(&e.sentBody, int(call.BodySize))
+	}
+	if err := out.Write(e.conn.writer); err != nil {
+		return err
+	}
+	if err := e.conn.writer.Flush(); err != nil {
+		return err
+	}
+	e.sent = true
+	return nil
+}
+
+// sentBody is a call's body on its way to the backend server.
+type sentBody struct {
+	io.Reader
+	// broken is set if the caller's body broke off.
+	broken bool
+}
+
+// Read implements io.Reader.
+func (b *sentBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.broken = true
+	}
+	return n, err
+}
+
+// timeLeft returns the time until a call's deadline in milliseconds, at least 1.
+func timeLeft(call *request.Call) string {
+	return strconv.FormatInt(max(time.Until(call.Context.Deadline).Milliseconds(), 1), 10)
+}
+
+// receive reads the next answer. The body of a refusal is left unread, as the refusal does
+// not have to wait for it.
+func (e *exchange) receive(call *request.Call) error {
+	response := fasthttp.AcquireResponse()
+	e.response = response
+	response.StreamBody = true
+	response.SkipBody = true
+	hasStatus := !e.readsStatusZero()
+	if err := response.ReadLimitBody(e.conn.reader, 0); err != nil {
+		return err
+	}
+	if status := response.StatusCode(); !hasStatus || status < http.StatusOK || status > maxStatus {
+		return errBadStatus
+	}
+	if call.Method == fasthttp.MethodHead || isBodyless(response.StatusCode()) || e.isRefusal(call) {
+		return nil
+	}
+	response.SkipBody = false
+	return response.ReadBody(e.conn.reader, 0)
+}
+
+// readsStatusZero reports whether the next answer has the status 000, which the library
+// takes for 200.
+func (e *exchange) readsStatusZero() bool {
+	// An answer that is shorter fails when it is read.
+	start, _ := e.conn.reader.Peek(len("HTTP/1.1 000"))
+	return bytes.HasSuffix(start, []byte(" 000"))
+}
+
+// isBodyless reports whether answers of a status have no body.
+func isBodyless(status int) bool {
+	return status < http.StatusOK || status == http.StatusNoContent || status == http.StatusNotModified
+}
+
+func (e *exchange) answer(call *request.Call) *request.Answer {
+	header := &e.response.Header
+	size := int64(header.ContentLength())
+	if size < -1 {
+		size = -1
+	}
+	e.body = e.response.BodyStream()
+	if e.body == nil {
+		e.ended = true
+		if call.Method != fasthttp.MethodHead {
+			size = 0
+		}
+	}
+	return &request.Answer{
+		Status:   header.StatusCode(),
+		Headers:  httpconn.ResponseHeaders(header),
+		Body:     e,
+		BodySize: size,
+		Trailers: func() []request.Header { return httpconn.Trailers(header) },
+		Report:   e.liveCall.Report,
+	}
+}
+
+// Read implements io.Reader for the answer's body.
+func (e *exchange) Read(p []byte) (int, error) {
+	if e.ended {
+		return 0, io.EOF
+	}
+	n, err := e.body.Read(p)
+	if err == io.EOF {
+		e.ended = true
+	}
+	return n, err
+}
+
+// Close implements io.Closer: it invalidates the call's token and keeps the
+// connection if the answer was read to its end.
+func (e *exchange) Close() error {
+	e.finish(e.ended)
+	return nil
+}
+
+// finish ends the exchange. The connection is kept if answerRead, the request was written
+// to its end too, and nothing else speaks against it: a server that answers early reads on
+// and would take the next request for the rest of the body.
+func (e *exchange) finish(answerRead bool) {
+	if !e.finished.CompareAndSwap(false, true) {
+		return
+	}
+	e.end()
+	stopped := e.stop()
+	if !answerRead || !e.sent || !stopped || e.receivedOther || e.response.ConnectionClose() {
+		_ = e.conn.conn.Close()
+		return
+	}
+	e.client.connections.put(e.conn, e.address, e.maxConnections)
+}
+
+// cancel closes the connection, which tells the backend server that no caller
+// waits for its answer.
+func (e *exchange) cancel() {
+	_ = e.conn.conn.Close()
+}
+
+// refusal returns the refusal of a call that failed without an answer. Once the
+// connection is made, only an answer can prove that a call has not run.
+func (e *exchange) refusal(ctx context.Context) *request.Refusal {
+	refusal := refusalOf(ctx, request.CauseBackendFailed, request.Unknown)
+	refusal.Report = e.liveCall.Report()
+	return refusal
+}
+
+// refusalOf returns a refusal. If the context has ended, its end is the cause.
+func refusalOf(ctx context.Context, cause request.Cause, outcome request.Outcome) *request.Refusal {
+	switch ctx.Err() {
+	case context.DeadlineExceeded:
+		cause = request.CauseDeadline
+	case context.Canceled:
+		cause = request.CauseCancelled
+	}
+	return request.Refuse(cause, outcome, 0)
+}
