--- a/backend/unsent_body_test.go
+++ b/backend/unsent_body_test.go
@@ -53,13 +53,18 @@
 	}
 }
 
-// upload sends the attempt a1 with a body and reads the answer to its end, if there is one.
-func upload(ctx context.Context, client *Client, body io.Reader, size int64) error {
-	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
-	defer cancel()
+// newUpload returns the attempt a1 with a body, whose size is -1 for one in chunks.
+func newUpload(body io.Reader, size int64) *request.Call {
 	call := &request.Call{Service: "tracking", Method: http.MethodPost, URI: []byte("/"), Host: "h", AttemptID: "a1", Body: body, BodySize: size}
 	call.Headers = []request.Header{{Name: []byte(testDialect.AttemptID), Value: []byte("a1")}}
 	call.Context.Deadline = time.Now().Add(2 * time.Second)
+	return call
+}
+
+// upload sends a call and reads the answer to its end, if there is one.
+func upload(ctx context.Context, client *Client, call *request.Call) error {
+	ctx, cancel := context.WithDeadline(ctx, call.Context.Deadline)
+	defer cancel()
 	answer, err := client.Serve(ctx, call)
 	if err != nil {
 		return err
@@ -87,6 +92,7 @@
 		chunked  = "HTTP/1.1 413 x\r\nX-Attempt: ATTEMPT\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
 		refused  = "HTTP/1.1 503 x\r\nX-Attempt: ATTEMPT\r\nX-Not-Run: 1\r\nContent-Length: 5\r\n\r\nhello"
 	)
+	const deadline = 200 * time.Millisecond
 	whole := func(context.CancelFunc) io.Reader { return strings.NewReader(strings.Repeat("b", uploadBytes)) }
 	left := func(context.CancelFunc) io.Reader {
 		return brokenBody(func() error { return errCallerLeft })
@@ -97,6 +103,19 @@
 	cancelled := func(cancel context.CancelFunc) io.Reader {
 		return brokenBody(func() error { cancel(); return context.Canceled })
 	}
+	late := func(context.CancelFunc) io.Reader {
+		return brokenBody(func() error {
+			time.Sleep(2 * deadline)
+			return context.DeadlineExceeded
+		})
+	}
+	withTrailers := func(call *request.Call) {
+		call.Trailers = func() []request.Header { return []request.Header{{Name: []byte("Checksum"), Value: []byte("1")}} }
+	}
+	withExpect := func(call *request.Call) {
+		call.Headers = append(call.Headers, request.Header{Name: []byte("Expect"), Value: []byte("100-continue")})
+	}
+	withDeadline := func(call *request.Call) { call.Context.Deadline = time.Now().Add(deadline) }
 	cases := []struct {
 		name   string
 		answer string
@@ -104,18 +123,28 @@
 		// size is -1 for a body in chunks.
 		size        int64
 		connections int64
+		// change changes the call; it may be nil.
+		change func(call *request.Call)
 	}{
-		{"whole", answered, whole, uploadBytes, 1},
-		{"whole, in chunks", answered, whole, -1, 1},
-		{"whole and refused", refused, whole, uploadBytes, 1},
-		{"broken off", answered, left, uploadBytes, 2},
-		{"broken off, answered in chunks", chunked, left, uploadBytes, 2},
-		{"broken off, in chunks", answered, left, -1, 2},
-		{"ended early", answered, early, uploadBytes, 2},
-		{"broken off and refused", refused, left, uploadBytes, 2},
-		{"broken off in chunks and refused", refused, left, -1, 2},
-		{"cancelled", answered, cancelled, uploadBytes, 2},
-		{"cancelled and refused", refused, cancelled, uploadBytes, 2},
+		{"whole", answered, whole, uploadBytes, 1, nil},
+		{"whole, in chunks", answered, whole, -1, 1, nil},
+		{"whole and refused", refused, whole, uploadBytes, 1, nil},
+		{"broken off", answered, left, uploadBytes, 2, nil},
+		{"broken off, answered in chunks", chunked, left, uploadBytes, 2, nil},
+		{"broken off, in chunks", answered, left, -1, 2, nil},
+		{"ended early", answered, early, uploadBytes, 2, nil},
+		{"broken off and refused", refused, left, uploadBytes, 2, nil},
+		{"broken off in chunks and refused", refused, left, -1, 2, nil},
+		{"cancelled", answered, cancelled, uploadBytes, 2, nil},
+		{"cancelled and refused", refused, cancelled, uploadBytes, 2, nil},
+		{"whole, with trailers", answered, whole, -1, 1, withTrailers},
+		{"broken off, with trailers", answered, left, -1, 2, withTrailers},
+		{"whole, expects to continue", answered, whole, uploadBytes, 1, withExpect},
+		{"broken off, expects to continue", answered, left, uploadBytes, 2, withExpect},
+		{"broken off and refused, expects to continue", refused, left, uploadBytes, 2, withExpect},
+		{"past its deadline", answered, late, uploadBytes, 2, withDeadline},
+		{"past its deadline, in chunks", answered, late, -1, 2, withDeadline},
+		{"past its deadline and refused", refused, late, uploadBytes, 2, withDeadline},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -124,7 +153,11 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			began := time.Now()
-			_ = upload(ctx, client, c.body(cancel), c.size)
+			call := newUpload(c.body(cancel), c.size)
+			if c.change != nil {
+				c.change(call)
+			}
+			_ = upload(ctx, client, call)
 			assert.Assert(t, time.Since(began) < time.Second, "waited for the rest of the body")
 			_, err := attemptOf(t, client, "a2")
 			assert.Assert(t, err == nil || request.AsRefusal(err).Outcome == request.NotRun, "%v", err)
@@ -140,7 +173,7 @@
 	server := &earlyServer{}
 	client := newDialectClient(t, acceptAll(t, server.serve))
 	began := time.Now()
-	err := upload(t.Context(), client, brokenBody(func() error { return errCallerLeft }), uploadBytes)
+	err := upload(t.Context(), client, newUpload(brokenBody(func() error { return errCallerLeft }), uploadBytes))
 	assert.Equal(t, request.AsRefusal(err).Outcome, request.Unknown)
 	assert.Assert(t, time.Since(began) < time.Second)
 }
