--- a/admission/levelcontroller.go
+++ b/admission/levelcontroller.go
@@ -39,7 +39,7 @@
 	admittedFractions [request.Priorities]float64
 	// demand is the estimated number of arrivals per window without shedding.
 	demand [request.Priorities]float64
-	// throughput is the number of calls per window that the slots in use stand for.
+	// throughput is the estimated number of calls per window that the slots in use serve.
 	throughput float64
 
 	windowEnd, lastAdvance time.Time
@@ -110,7 +110,7 @@
 	l.window = levelCounts{}
 	l.throughput = a.departures
 	if hasSpare {
-		// After a rise of the load the calls in progress hold slots and have not ended yet.
+		// After a rise of the load, calls hold slots of which none has ended yet.
 		l.throughput = max(a.departures, a.starts)
 	}
 	if hasSpare && l.throughput < minReadableThroughput {
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -112,7 +112,7 @@
 	slotTimeBefore   float64
 	samples, refused int
 	sum              time.Duration
-	// saturated is set once the limit has been fully used.
+	// saturated is set once as many calls as the limit ran.
 	saturated bool
 	// crowded is set once the limit and the queue had no place for a call.
 	crowded bool
