Demand average use only for the start of a probe

Cause: asked for average use in three places: the start of a probe, the cut in its next window, and the time for which a limit must be used before it is probed. With the last two, the limit of a server that is shed at its entries is hardly ever probed, and stays too high.

Change: only the start of a probe asks for it; the other two ask, as before, whether the limit was reached.

--- a/admission/limit.go
+++ b/admission/limit.go
@@ -179,16 +179,15 @@
 	if !l.isSlow() {
 		l.probe.fastAt = now
 	}
-	fullyUsed := l.isFullyUsed(now, use)
-	if !fullyUsed {
+	if !l.saturated {
 		l.probe.dueAt = now.Add(probeAfter)
 	}
 	switch {
 	case l.probe.phase == afterCut:
 		l.endProbe()
 	case l.probe.phase == beforeCut:
-		l.startProbeCut(fullyUsed, use)
-	case fullyUsed && l.isProbeDue(now):
+		l.startProbeCut(use)
+	case l.isFullyUsed(now, use) && l.isProbeDue(now):
 		l.probe.phase = beforeCut
 	default:
 		l.adjustBaseline()
@@ -238,9 +237,9 @@
 }
 
 // startProbeCut lowers the limit for a probe, unless the limit is no longer fully used.
-func (l *concurrencyLimit) startProbeCut(fullyUsed bool, use usage) {
+func (l *concurrencyLimit) startProbeCut(use usage) {
 	l.probe.phase = noProbe
-	if !fullyUsed {
+	if !l.saturated {
 		return
 	}
 	l.probe.phase, l.probe.limit, l.probe.mean = afterCut, l.current, l.mean
