Say "may have run" if any attempt of a call may have

Callers saw: 503, "not run", for an idempotent request that had run (REFUSED).

Cause: the result of a call without an answer was the refusal of its last attempt.

Change: a delivery keeps whether any refused attempt may have run, and its refusal says "not run" only if none may have.

TestNotRunCoversAllAttempts: three of four rows failed before.

--- a/node/delivery.go
+++ b/node/delivery.go
@@ -41,6 +41,8 @@
 	// lastChoice is the backend server of the last attempt; lastRefusal is the last refusal.
 	lastChoice  *route.Choice
 	lastRefusal *request.Refusal
+	// mayHaveRun is set once an attempt was refused that may have run.
+	mayHaveRun bool
 	// failedAnswer is the answer of a backend server that failed. It is passed on if no
 	// later attempt gets an answer. It is nil until a failed call is retried.
 	failedAnswer *request.Answer
@@ -79,6 +81,10 @@
 	case d.failedAnswer != nil:
 		return d.withBudget(d.failedAnswer), nil
 	}
+	if d.mayHaveRun && d.lastRefusal.Outcome == request.NotRun {
+		// That is true of the last attempt alone.
+		d.lastRefusal.Outcome = request.Unknown
+	}
 	d.lastRefusal.Report.UnspentRetries = d.budget.Remaining()
 	return nil, d.lastRefusal
 }
@@ -120,6 +126,7 @@
 		return false
 	}
 	d.lastRefusal = refusal
+	d.mayHaveRun = d.mayHaveRun || refusal.Outcome != request.NotRun
 	d.reclaimBudget(refusal.Report)
 	if d.reroutes < maxReroutes && mayReroute(ctx, d.call, refusal) {
 		d.reroutes++
--- a/node/delivery_test.go
+++ b/node/delivery_test.go
@@ -24,7 +24,9 @@
 	status int
 	body   string
 	cause  request.Cause
-	after  time.Duration
+	// mayHaveRun is set if the refused call may have run.
+	mayHaveRun bool
+	after      time.Duration
 }
 
 // scriptedNodes answers calls to other VMs with the replies in order.
@@ -39,6 +41,9 @@
 	r := s.replies[len(s.asked)]
 	s.asked = append(s.asked, address)
 	time.Sleep(r.after)
+	if r.status == 0 && r.mayHaveRun {
+		return nil, request.Refuse(r.cause, request.Unknown, 0)
+	}
 	if r.status == 0 {
 		return nil, request.Refuse(r.cause, request.NotRun, 0)
 	}
@@ -123,6 +128,35 @@
 	}
 }
 
+// TestNotRunCoversAllAttempts guards against a call that is said not to have run because
+// its last attempt did not, although an earlier one may have: its server gave no answer.
+func TestNotRunCoversAllAttempts(t *testing.T) {
+	unanswered := reply{cause: request.CauseBackendFailed, mayHaveRun: true}
+	unreachable, full := reply{cause: request.CauseNoBackend}, reply{cause: request.CauseOverload}
+	for name, c := range map[string]struct {
+		replies []reply
+		want    request.Outcome
+	}{
+		"no attempt ran":                      {[]reply{unreachable, full, full}, request.NotRun},
+		"the first may have run":              {[]reply{unanswered, full}, request.Unknown},
+		"the first may have run, then others": {[]reply{unanswered, unreachable, unreachable, unreachable, full}, request.Unknown},
+		"the second may have run":             {[]reply{unreachable, unanswered, full}, request.Unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				nodes := &scriptedNodes{replies: c.replies}
+				_, err := newTestRouter(nodes, 6).Serve(t.Context(), &request.Call{
+					Service: "vetrina", Idempotent: true, Replay: func() io.Reader { return nil },
+					Context: request.Context{Route: "catalogo", RetryBudget: 1, Deadline: time.Now().Add(time.Second)},
+				})
+				refusal := request.AsRefusal(err)
+				assert.Equal(t, refusal.Outcome, c.want)
+				assert.Equal(t, len(nodes.asked), len(c.replies))
+			})
+		})
+	}
+}
+
 // TestFailedCallChains guards against retries that exceed their bounds when a deep service
 // refuses part of its calls and its upstream services fail: a call that makes further
 // calls is not retried if only bounds at each service limit the retries, since its
