--- a/node/delivery_test.go
+++ b/node/delivery_test.go
@@ -41,11 +41,12 @@
 	r := s.replies[len(s.asked)]
 	s.asked = append(s.asked, address)
 	time.Sleep(r.after)
-	if r.status == 0 && r.mayHaveRun {
-		return nil, request.Refuse(r.cause, request.Unknown, 0)
-	}
 	if r.status == 0 {
-		return nil, request.Refuse(r.cause, request.NotRun, 0)
+		outcome := request.NotRun
+		if r.mayHaveRun {
+			outcome = request.Unknown
+		}
+		return nil, request.Refuse(r.cause, outcome, 0)
 	}
 	return &request.Answer{
 		Status: r.status,
