Refuse an early answer that only a reset may have ended

What callers saw: a server answered a long upload at once, with a 200 that had no length, and reset the connection while the upload was still being written. The caller got what had arrived as the whole answer. The same answers marked "not run" or 421 were believed, too.

Cause: a socket reports a reset once. The write of the upload got it; the read of the answer then found an end in order, and that ends a body without a length. Seen with two plain sockets and a reset 5 ms after a partial answer: write "connection reset by peer", then read 17 bytes, then read EOF.

Change: an answer whose end only the end of its connection shows is refused if the request was not written to its end, with an unknown outcome. It holds before "not run" and 421 are looked at. Early answers with a length or in chunks show their own end and pass as before.

--- a/backend/dialect.go
+++ b/backend/dialect.go
@@ -20,6 +20,9 @@
 	maxOtherAnswers = 4
 	// chunkedLength is what fasthttp returns as the length of a body in chunks.
 	chunkedLength = -1
+	// unknownLength is what fasthttp returns as the length of a body that ends with its
+	// connection.
+	unknownLength = -2
 	// maxDrainTime bounds how long a refusal waits for its body, so that the connection can
 	// be kept.
 	maxDrainTime = 50 * time.Millisecond
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -20,8 +20,14 @@
 // maxStatus is the highest status that an answer may have.
 const maxStatus = 599
 
-// errBadStatus is the error of an answer whose status is not one of a final answer.
-var errBadStatus = errors.New("status is not from 200 to 599")
+var (
+	// errBadStatus is the error of an answer whose status is not one of a final answer.
+	errBadStatus = errors.New("status is not from 200 to 599")
+	// errUnknownEnd is the error of an answer that may have been cut: only the end of its
+	// connection ends it, and the request could not be written. If a reset was the reason,
+	// the socket has reported it to the write, and a read finds an end in order.
+	errUnknownEnd = errors.New("answer without a length to a request that was not written whole")
+)
 
 // exchange is one call on its connection.
 type exchange struct {
@@ -132,7 +138,13 @@
 	if status := response.StatusCode(); !hasStatus || status < http.StatusOK || status > maxStatus {
 		return errBadStatus
 	}
-	if call.Method == fasthttp.MethodHead || isBodyless(response.StatusCode()) || e.isRefusal(call) {
+	if call.Method == fasthttp.MethodHead || isBodyless(response.StatusCode()) {
+		return nil
+	}
+	if response.Header.ContentLength() == unknownLength && !e.sent {
+		return errUnknownEnd
+	}
+	if e.isRefusal(call) {
 		return nil
 	}
 	response.SkipBody = false
