Check the status line of each head that is read for a call

What callers saw: a server in trouble sent an answer whose status was 000, and they got it as 200. The plain form has been refused since; more blanks before the status, empty lines or an interim answer before the status line still made it pass.

Cause: the library's reader takes the status 000 for the default of 200, skips empty lines and further blanks, accepts any version and any byte in the reason, and reads interim answers by itself. The check was for one pattern of bytes at the start of the first head.

Change: package http1 reads heads one by one, interim ones too, and looks at the bytes of each line before the library parses it: the version is 1.0 or 1.1, the status is 100 to 599, the reason is text by golang.org/x/net's rules, one blank stands behind each of the first two, and the line ends with CR and LF. A broken line is found when it is complete, without waiting for the rest of the head. What fails is no answer: the outcome is unknown and the connection closed, whatever the head says. Versions other than 1.0 and 1.1 are refused as the library would read their framing as that of 1.0.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -13,21 +12,15 @@
 
 	"github.com/valyala/fasthttp"
 
+	"auburngap/http1"
 	"auburngap/httpconn"
 	"auburngap/request"
 )
 
-// maxStatus is the highest status that an answer may have.
-const maxStatus = 599
-
-var (
-	// errBadStatus is the error of an answer whose status is not one of a final answer.
-	errBadStatus = errors.New("status is not from 200 to 599")
-	// errUnknownEnd is the error of an answer that may have been cut: only the end of its
-	// connection ends it, and the request could not be written. If a reset was the reason,
-	// the socket has reported it to the write, and a read finds an end in order.
-	errUnknownEnd = errors.New("answer without a length to a request that was not written whole")
-)
+// errUnknownEnd is the error of an answer that may have been cut: only the end of its
+// connection ends it, and the request could not be written. If a reset was the reason,
+// the socket has reported it to the write, and a read finds an end in order.
+var errUnknownEnd = errors.New("answer without a length to a request that was not written whole")
 
 // exchange is one call on its connection.
 type exchange struct {
@@ -130,14 +123,9 @@
 	response := fasthttp.AcquireResponse()
 	e.response = response
 	response.StreamBody = true
-	response.SkipBody = true
-	hasStatus := !e.readsStatusZero()
-	if err := response.ReadLimitBody(e.conn.reader, 0); err != nil {
+	if err := http1.ReadHead(e.conn.reader, &response.Header); err != nil {
 		return err
 	}
-	if status := response.StatusCode(); !hasStatus || status < http.StatusOK || status > maxStatus {
-		return errBadStatus
-	}
 	if call.Method == fasthttp.MethodHead || isBodyless(response.StatusCode()) {
 		return nil
 	}
@@ -147,18 +135,9 @@
 	if e.isRefusal(call) {
 		return nil
 	}
-	response.SkipBody = false
 	return response.ReadBody(e.conn.reader, 0)
 }
 
-// readsStatusZero reports whether the next answer has the status 000, which the library
-// takes for 200.
-func (e *exchange) readsStatusZero() bool {
-	// An answer that is shorter fails when it is read.
-	start, _ := e.conn.reader.Peek(len("HTTP/1.1 000"))
-	return bytes.HasSuffix(start, []byte(" 000"))
-}
-
 // isBodyless reports whether answers of a status have no body.
 func isBodyless(status int) bool {
 	return status < http.StatusOK || status == http.StatusNoContent || status == http.StatusNotModified
--- a/backend/status_test.go
+++ b/backend/status_test.go
@@ -3,8 +3,11 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/netip"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -12,6 +15,41 @@
 	"auburngap/request"
 )
 
+// serveAnswer starts a server that answers each connection's first request with the text
+// of answer, in which ATTEMPT stands for the request's attempt ID. It sends on ended how
+// the connection ended, once for each: with io.EOF if the client closed it first.
+func serveAnswer(t *testing.T, answer string) (address netip.AddrPort, ended chan error) {
+	t.Helper()
+	ended = make(chan error, 1)
+	address = acceptAll(t, func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		incoming, err := http.ReadRequest(reader)
+		if err != nil {
+			ended <- err
+			return
+		}
+		_, _ = io.WriteString(conn, strings.ReplaceAll(answer, "ATTEMPT", incoming.Header.Get(testDialect.AttemptID)))
+		_, err = reader.ReadByte()
+		ended <- err
+	})
+	return address, ended
+}
+
+// checkBroken sends a call to a server that answers it with the text of a broken answer,
+// and keeps the connection open. Nothing must follow from the answer, and the connection
+// must be closed.
+func checkBroken(t *testing.T, answer string) {
+	t.Helper()
+	address, ended := serveAnswer(t, answer)
+	got, err := attemptOf(t, newDialectClient(t, address), "a1")
+	assert.Assert(t, err != nil, "passes with %v", got)
+	refusal := request.AsRefusal(err)
+	assert.Equal(t, refusal.Cause, request.CauseBackendFailed)
+	assert.Equal(t, refusal.Outcome, request.Unknown)
+	assert.ErrorContains(t, <-ended, "EOF")
+}
+
 // TestBadStatus guards against an answer whose status line is not one of HTTP and that
 // passes for an answer: 000 was passed on as 200. The request may have run then, and the
 // connection is not used again.
@@ -22,31 +60,68 @@
 		"20": false, "2000": false, "abc": false, "-20": false, "+20": false, "": false,
 	} {
 		t.Run("status "+status, func(t *testing.T) {
-			ended := make(chan error, 1)
-			address := acceptAll(t, func(conn net.Conn) {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				sent, err := http.ReadRequest(reader)
-				if err != nil {
-					ended <- err
-					return
-				}
-				_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s Fine\r\n%s: %s\r\nContent-Length: 0\r\n\r\n",
-					status, testDialect.AttemptID, sent.Header.Get(testDialect.AttemptID))
-				_, err = reader.ReadByte()
-				ended <- err
-			})
-			answer, err := attemptOf(t, newDialectClient(t, address), "a1")
-			if passes {
-				assert.NilError(t, err)
-				assert.Equal(t, fmt.Sprint(answer.Status), status)
+			answer := fmt.Sprintf("HTTP/1.1 %s Fine\r\n%s: ATTEMPT\r\nContent-Length: 0\r\n\r\n", status, testDialect.AttemptID)
+			if !passes {
+				checkBroken(t, answer)
 				return
 			}
-			assert.Assert(t, err != nil, "passes with %v", answer)
-			refusal := request.AsRefusal(err)
-			assert.Equal(t, refusal.Cause, request.CauseBackendFailed)
-			assert.Equal(t, refusal.Outcome, request.Unknown)
-			assert.ErrorContains(t, <-ended, "EOF")
+			address, _ := serveAnswer(t, answer)
+			got, err := attemptOf(t, newDialectClient(t, address), "a1")
+			assert.NilError(t, err)
+			assert.Equal(t, fmt.Sprint(got.Status), status)
 		})
 	}
 }
+
+// TestBadStatusLines guards against a status line that HTTP doesn't allow and that the
+// library takes for one: 000 passed as 200 behind more blanks, empty lines or an earlier
+// answer.
+func TestBadStatusLines(t *testing.T) {
+	fields := testDialect.AttemptID + ": ATTEMPT\r\nContent-Length: 0\r\n\r\n"
+	interim := "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+	other := "HTTP/1.1 200 OK\r\n" + testDialect.AttemptID + ": a0\r\nContent-Length: 0\r\n\r\n"
+	sound := []string{
+		"HTTP/1.1 200 OK\r\n", "HTTP/1.0 200 OK\r\n", "HTTP/1.1 200 \r\n", "HTTP/1.1 599 a \tlong (\"reason\") \xfc\r\n",
+		"HTTP/1.1 421 Misdirected\r\n", "HTTP/1.1 503 Busy\r\n" + testDialect.NotRun + ": 1\r\n",
+	}
+	broken := []string{
+		"HTTP/1.1 000 OK\r\n", "HTTP/1.0 000 OK\r\n", "HTTP/1.1 000\r\n", "HTTP/1.1 000 \r\n",
+		"HTTP/1.1 000 OK\r\n" + testDialect.NotRun + ": 1\r\n",
+		"HTTP/1.1  000 OK\r\n", "HTTP/1.1    000 OK\r\n", "HTTP/1.1\t000 OK\r\n", "HTTP/1.1 \t000 OK\r\n",
+		"HTTP/1.1 000  OK\r\n", "HTTP/1.1 000\tOK\r\n", " HTTP/1.1 000 OK\r\n",
+		"\r\nHTTP/1.1 000 OK\r\n", "\nHTTP/1.1 000 OK\r\n", "\r\n\r\nHTTP/1.1 000 OK\r\n",
+		"HTTP/1.1 000 OK\n", "http/1.1 000 OK\r\n", "HTTP/1.2 000 OK\r\n", "HTTP/2.0 000 OK\r\n",
+		"HTTP/1.1  200 OK\r\n", "HTTP/1.1\t200 OK\r\n", " HTTP/1.1 200 OK\r\n", "\r\nHTTP/1.1 200 OK\r\n", "\nHTTP/1.1 200 OK\r\n",
+		"HTTP/1.1 200 OK\n", "HTTP/1.1 200 O\x00K\r\n", "HTTP/1.1 200 O\x1bK\r\n", "HTTP/1.1 200 O\rK\r\n", "HTTP/1.1 200 O\x7fK\r\n",
+		"HTTP/1.1 200\r\n", "HTTP/1.1 200\tOK\r\n", "HTTP/1.1 200OK\r\n", "HTTP/1.1 +99 OK\r\n", "HTTP/1.1 2e2 OK\r\n", "HTTP/1.1 2\x30\x00 OK\r\n",
+		"HTTP/1.2 200 OK\r\n", "HTTP/0.9 200 OK\r\n", "HTTP/2.0 200 OK\r\n", "HTTP/11.1 200 OK\r\n", "HTTP/1 200 OK\r\n", "http/1.1 200 OK\r\n",
+		"ICY 200 OK\r\n", "200 OK\r\n",
+		"HTTP/1.1  421 Misdirected\r\n", "HTTP/1.1  503 Busy\r\n" + testDialect.NotRun + ": 1\r\n", "\r\nHTTP/1.1 503 Busy\r\n" + testDialect.NotRun + ": 1\r\n",
+	}
+	for _, line := range broken {
+		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) { checkBroken(t, line+fields) })
+		t.Run(fmt.Sprintf("interim answer, then %q", line), func(t *testing.T) { checkBroken(t, interim+line+fields) })
+		t.Run(fmt.Sprintf("answer to another request, then %q", line), func(t *testing.T) { checkBroken(t, other+line+fields) })
+	}
+	for _, line := range sound {
+		for _, earlier := range []string{"", interim, interim + interim} {
+			t.Run(fmt.Sprintf("%q%q", earlier, line), func(t *testing.T) {
+				address, _ := serveAnswer(t, earlier+line+fields)
+				_, err := attemptOf(t, newDialectClient(t, address), "a1")
+				assert.Assert(t, err == nil || request.AsRefusal(err).Outcome == request.NotRun, "%v", err)
+			})
+		}
+	}
+}
+
+// TestBadInterimAnswers guards against a broken answer that passes because the library
+// skips it as an interim one.
+func TestBadInterimAnswers(t *testing.T) {
+	answer := "HTTP/1.1 200 OK\r\n" + testDialect.AttemptID + ": ATTEMPT\r\nContent-Length: 0\r\n\r\n"
+	for _, interim := range []string{
+		"HTTP/1.1  100 Continue\r\n\r\n", "\r\nHTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 1000 Continue\r\n\r\n",
+		"HTTP/1.1 100 Continue\n\r\n\r\n", "HTTP/3.7 100 Continue\r\n\r\n", "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+	} {
+		t.Run(fmt.Sprintf("%q", interim), func(t *testing.T) { checkBroken(t, interim+answer) })
+	}
+}
--- /dev/null
+++ b/http1/head.go
@@ -0,0 +1,80 @@
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/net/http/httpguts"
+)
+
+const (
+	// maxInterim bounds the interim responses before a final one.
+	maxInterim = 100
+	// statusDigits is the length of a status in bytes.
+	statusDigits = 3
+	// maxStatus is the highest status that a response may have.
+	maxStatus = 599
+)
+
+// ReadHead reads the head of the next final response, and the interim ones before it. It
+// returns ErrBroken if one of them is not as HTTP requires.
+func ReadHead(reader *bufio.Reader, header *fasthttp.ResponseHeader) error {
+	for range maxInterim {
+		if err := readHead(reader, header); err != nil {
+			return err
+		}
+		switch status := header.StatusCode(); {
+		case status == http.StatusSwitchingProtocols:
+			return ErrBroken.New("switch of protocols that no request asked for")
+		case status >= http.StatusOK:
+			return nil
+		}
+	}
+	return ErrBroken.New("more than %d interim responses", maxInterim)
+}
+
+// readHead reads one head, interim or final.
+func readHead(reader *bufio.Reader, header *fasthttp.ResponseHeader) error {
+	head := headCheck{}
+	if err := awaitSection(reader, head.line); err != nil {
+		return err
+	}
+	if err := header.Read(reader); err != nil {
+		return ErrBroken.New("head: %.200v", err)
+	}
+	return nil
+}
+
+// headCheck checks the lines of one head.
+type headCheck struct {
+	hasStatus bool
+}
+
+// line checks the next line.
+func (h *headCheck) line(line []byte) error {
+	if !h.hasStatus {
+		h.hasStatus = true
+		return checkStatusLine(line)
+	}
+	return nil
+}
+
+// checkStatusLine checks a status line: a version whose framing the library knows, a
+// status, and a reason that may be empty, with one blank behind each of the first two.
+func checkStatusLine(line []byte) error {
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	status, reason, hasReason := bytes.Cut(rest, []byte(" "))
+	code, err := strconv.Atoi(string(status))
+	switch {
+	case string(version) != "HTTP/1.1" && string(version) != "HTTP/1.0":
+		return ErrBroken.New("version in status line %.64q", line)
+	case err != nil || len(status) != statusDigits || code < http.StatusContinue || code > maxStatus:
+		return ErrBroken.New("status in status line %.64q", line)
+	case !hasReason || !httpguts.ValidHeaderFieldValue(string(reason)):
+		return ErrBroken.New("reason in status line %.64q", line)
+	}
+	return nil
+}
