Check each field of a head that is read for a call

What callers saw: a server in trouble sent an answer in whose head the name of a field held a blank or a control byte. They got it as an answer, with that line passed on, or, where the name was to frame the body, with a body that was not the server's.

Cause: the library's reader takes blanks within a name for a part of it, drops those between the name and the colon, and joins lines that begin with a blank to the value before them. "Transfer Encoding: chunked" is then a field of no meaning, and the chunks with their sizes are the body up to the close; "Content-Length : 4" cuts the body where another reader would not.

Change: package http1 checks each line of a head, interim or final, of an answer to this request or to another, by golang.org/x/net's rules of names and values, before the library parses it. From a head that fails nothing follows: no success, no "not run", no 421. A value that goes on in the next line is refused, too, as RFC 9112 lets a gateway do.

--- a/http1/head.go
+++ b/http1/head.go
@@ -59,7 +59,10 @@
 		h.hasStatus = true
 		return checkStatusLine(line)
 	}
-	return nil
+	if len(line) == 0 {
+		return nil // the end of the head
+	}
+	return checkField(line)
 }
 
 // checkStatusLine checks a status line: a version whose framing the library knows, a
@@ -78,3 +81,18 @@
 	}
 	return nil
 }
+
+// checkField checks a line of a head or of trailers: a name, a colon and a value. It does
+// not allow a value to go on in the next line.
+func checkField(line []byte) error {
+	name, value, hasColon := bytes.Cut(line, []byte(":"))
+	switch {
+	case !hasColon:
+		return ErrBroken.New("no colon in field %.64q", line)
+	case !httpguts.ValidHeaderFieldName(string(name)):
+		return ErrBroken.New("name of field %.64q", line)
+	case !httpguts.ValidHeaderFieldValue(string(value)):
+		return ErrBroken.New("value of field %.64q", line)
+	}
+	return nil
+}
