Check each field of an answer's trailers

What callers saw: an answer in chunks passed for whole although a line of its trailers was not a field: a name with a blank, a name before a blank, a line that begins with one, a bare LF in a value.

Change: http1.Body reads the body behind a head: net/http/httputil takes the chunks apart, and the lines behind the last one are checked as those of a head are before the library parses them.

--- a/backend/dialect.go
+++ b/backend/dialect.go
@@ -18,11 +18,6 @@
 	// maxOtherAnswers is the maximum number of answers to other requests that are
 	// skipped before the expected one.
 	maxOtherAnswers = 4
-	// chunkedLength is what fasthttp returns as the length of a body in chunks.
-	chunkedLength = -1
-	// unknownLength is what fasthttp returns as the length of a body that ends with its
-	// connection.
-	unknownLength = -2
 	// maxDrainTime bounds how long a refusal waits for its body, so that the connection can
 	// be kept.
 	maxDrainTime = 50 * time.Millisecond
@@ -80,7 +75,6 @@
 		if _, err := io.Copy(io.Discard, e); err != nil {
 			return nil, err
 		}
-		e.ended = false
 		if err := e.receive(call); err != nil {
 			return nil, err
 		}
@@ -90,7 +84,7 @@
 }
 
 func (e *exchange) attemptID() []byte {
-	return e.response.Header.Peek(e.client.config.Dialect.AttemptID)
+	return e.header.Peek(e.client.config.Dialect.AttemptID)
 }
 
 // namesAttempt reports whether the answer carries the call's attempt ID. It is
@@ -119,7 +113,7 @@
 
 // notRunError returns an error if the answer says that the request did not run.
 func (e *exchange) notRunError() error {
-	header := &e.response.Header
+	header := &e.header
 	if header.StatusCode() == http.StatusMisdirectedRequest {
 		return errWrongInstance
 	}
@@ -153,26 +147,16 @@
 }
 
 // drainBody reads the body of a small refusal, and reports whether it reached the end.
-func (e *exchange) drainBody(call *request.Call) bool {
-	response := e.response
-	if response.ConnectionClose() {
+func (e *exchange) drainBody() bool {
+	if e.header.ConnectionClose() {
 		return false
 	}
-	if call.Method == fasthttp.MethodHead || isBodyless(response.StatusCode()) {
-		return true
-	}
 	if err := e.conn.conn.SetReadDeadline(time.Now().Add(maxDrainTime)); err != nil {
 		return false
 	}
-	response.StreamBody, response.SkipBody = false, false
-	if err := response.ReadBody(e.conn.reader, request.MaxBufferedBodyBytes); err != nil {
+	if _, err := io.CopyN(io.Discard, e, request.MaxBufferedBodyBytes+1); !errors.Is(err, io.EOF) {
 		return false
 	}
-	if response.Header.ContentLength() == chunkedLength {
-		if err := response.Header.ReadTrailer(e.conn.reader); err != nil {
-			return false
-		}
-	}
 	return e.conn.conn.SetReadDeadline(time.Time{}) == nil
 }
 
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -38,8 +38,11 @@
 	liveCall *LiveCall
 	end      func()
 	stop     func() bool
-	response *fasthttp.Response
-	body     io.Reader
+	// header is that of the last answer that was received.
+	header fasthttp.ResponseHeader
+	// body is nil for an answer without one.
+	body *http1.Body
+	// ended is set once the answer was read to its end.
 	ended    bool
 	finished atomic.Bool
 }
@@ -117,25 +120,21 @@
 	return strconv.FormatInt(max(time.Until(call.Context.Deadline).Milliseconds(), 1), 10)
 }
 
-// receive reads the next answer. The body of a refusal is left unread, as the refusal does
-// not have to wait for it.
+// receive reads the head of the next answer.
 func (e *exchange) receive(call *request.Call) error {
-	response := fasthttp.AcquireResponse()
-	e.response = response
-	response.StreamBody = true
-	if err := http1.ReadHead(e.conn.reader, &response.Header); err != nil {
+	e.body, e.ended = nil, false
+	if err := http1.ReadHead(e.conn.reader, &e.header); err != nil {
 		return err
 	}
-	if call.Method == fasthttp.MethodHead || isBodyless(response.StatusCode()) {
+	if call.Method == fasthttp.MethodHead || isBodyless(e.header.StatusCode()) {
+		e.ended = true
 		return nil
 	}
-	if response.Header.ContentLength() == unknownLength && !e.sent {
+	if e.header.ContentLength() == http1.LengthUnknown && !e.sent {
 		return errUnknownEnd
 	}
-	if e.isRefusal(call) {
-		return nil
-	}
-	return response.ReadBody(e.conn.reader, 0)
+	e.body = http1.NewBody(e.conn.reader, &e.header)
+	return nil
 }
 
 // isBodyless reports whether answers of a status have no body.
@@ -144,17 +143,10 @@
 }
 
 func (e *exchange) answer(call *request.Call) *request.Answer {
-	header := &e.response.Header
-	size := int64(header.ContentLength())
-	if size < -1 {
-		size = -1
-	}
-	e.body = e.response.BodyStream()
-	if e.body == nil {
-		e.ended = true
-		if call.Method != fasthttp.MethodHead {
-			size = 0
-		}
+	header := &e.header
+	size := max(int64(header.ContentLength()), -1)
+	if e.body == nil && call.Method != fasthttp.MethodHead {
+		size = 0
 	}
 	return &request.Answer{
 		Status:   header.StatusCode(),
@@ -194,7 +186,7 @@
 	}
 	e.end()
 	stopped := e.stop()
-	if !answerRead || !e.sent || !stopped || e.receivedOther || e.response.ConnectionClose() {
+	if !answerRead || !e.sent || !stopped || e.receivedOther || e.header.ConnectionClose() {
 		_ = e.conn.conn.Close()
 		return
 	}
--- a/http1/head.go
+++ b/http1/head.go
@@ -59,9 +59,6 @@
 		h.hasStatus = true
 		return checkStatusLine(line)
 	}
-	if len(line) == 0 {
-		return nil // the end of the head
-	}
 	return checkField(line)
 }
 
@@ -82,9 +79,12 @@
 	return nil
 }
 
-// checkField checks a line of a head or of trailers: a name, a colon and a value. It does
-// not allow a value to go on in the next line.
+// checkField checks a line of a head or of trailers: a name, a colon and a value, or the
+// empty line that ends them. It does not allow a value to go on in the next line.
 func checkField(line []byte) error {
+	if len(line) == 0 {
+		return nil
+	}
 	name, value, hasColon := bytes.Cut(line, []byte(":"))
 	switch {
 	case !hasColon:
