Refuse an answer that frames its body in two ways

What callers saw: an answer with both a Content-Length and a Transfer-Encoding passed, by the chunks alone; one of HTTP/1.0 with a Transfer-Encoding passed with its chunk sizes in the body, ended by the close, or by the length. Found while the reports on names that frame a body were traced; not reported.

Cause: the library lets the encoding overrule the length, and drops the encoding of an HTTP/1.0 head. RFC 9112, 6.1 and 6.3, has both treated as faulty framing.

Change: http1 refuses such heads, so that nothing follows from them. Repeated, listed or malformed lengths and encodings other than chunked were refused before; the rows stay.

Evidence: 160 rows of TestBrokenFraming failed before and pass now; TestSoundFraming passed before and after.

--- a/http1/head.go
+++ b/http1/head.go
@@ -11,6 +11,8 @@
 )
 
 const (
+	versionHTTP10 = "HTTP/1.0"
+	versionHTTP11 = "HTTP/1.1"
 	// maxInterim bounds the interim responses before a final one.
 	maxInterim = 100
 	// statusDigits is the length of a status in bytes.
@@ -50,16 +52,40 @@
 
 // headCheck checks the lines of one head.
 type headCheck struct {
-	hasStatus bool
+	hasStatus, isHTTP10 bool
+	// hasLength and hasEncoding are set if the head frames its body so.
+	hasLength, hasEncoding bool
 }
 
 // line checks the next line.
 func (h *headCheck) line(line []byte) error {
 	if !h.hasStatus {
 		h.hasStatus = true
+		h.isHTTP10 = bytes.HasPrefix(line, []byte(versionHTTP10))
 		return checkStatusLine(line)
 	}
-	return checkField(line)
+	if err := checkField(line); err != nil {
+		return err
+	}
+	if len(line) == 0 {
+		return h.checkFraming()
+	}
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	h.hasLength = h.hasLength || bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength))
+	h.hasEncoding = h.hasEncoding || bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding))
+	return nil
+}
+
+// checkFraming refuses what readers understand in different ways: a body that is framed
+// twice, or by a field that its version does not have. The library checks the values.
+func (h *headCheck) checkFraming() error {
+	switch {
+	case h.hasEncoding && h.hasLength:
+		return ErrBroken.New("both a length and a transfer encoding")
+	case h.hasEncoding && h.isHTTP10:
+		return ErrBroken.New("transfer encoding with HTTP/1.0")
+	}
+	return nil
 }
 
 // checkStatusLine checks a status line: a version whose framing the library knows, a
@@ -69,7 +95,7 @@
 	status, reason, hasReason := bytes.Cut(rest, []byte(" "))
 	code, err := strconv.Atoi(string(status))
 	switch {
-	case string(version) != "HTTP/1.1" && string(version) != "HTTP/1.0":
+	case string(version) != versionHTTP11 && string(version) != versionHTTP10:
 		return ErrBroken.New("version in status line %.64q", line)
 	case err != nil || len(status) != statusDigits || code < http.StatusContinue || code > maxStatus:
 		return ErrBroken.New("status in status line %.64q", line)
