Believe a refusal only if its body is not broken

What callers saw: "not run", or a call sent to another server, after an answer that said so in its head and broke off or was malformed behind it. Found while the answers cut by a reset were traced; not reported.

Cause: the body of a refusal was read only to keep the connection, and whatever went wrong with it only closed the connection.

Change: the body of each refusal, 421 too, is read for up to 50 ms. If it is cut or malformed by then the outcome is unknown. A body that is merely slow, long or endless holds nothing back, as before.

--- a/backend/client.go
+++ b/backend/client.go
@@ -79,7 +79,7 @@
 		err = errFailedAfterDeadline
 	}
 	if err != nil {
-		e.finish(errors.Is(err, errNotExecuted) && e.namesAttempt(call) && conn.addRefused(call) && e.drainBody())
+		e.finish(e.ended && errors.Is(err, errNotExecuted) && e.namesAttempt(call) && conn.addRefused(call))
 		return nil, e.refusalFor(ctx, err)
 	}
 	return answer, nil
--- a/backend/dialect.go
+++ b/backend/dialect.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"auburngap/http1"
 	"auburngap/httpconn"
 	"auburngap/request"
 )
@@ -18,8 +19,8 @@
 	// maxOtherAnswers is the maximum number of answers to other requests that are
 	// skipped before the expected one.
 	maxOtherAnswers = 4
-	// maxDrainTime bounds how long a refusal waits for its body, so that the connection can
-	// be kept.
+	// maxDrainTime bounds how long a refusal waits for its body, which shows whether it is
+	// whole and the connection can be kept.
 	maxDrainTime = 50 * time.Millisecond
 )
 
@@ -56,6 +57,9 @@
 	}
 	d := e.client.config.Dialect
 	if e.isRefusal(call) {
+		if err := e.readRefusal(); err != nil {
+			return nil, err
+		}
 		return nil, e.notRunError()
 	}
 	if e.notRunError() != nil || !e.namesAttempt(call) {
@@ -146,18 +150,21 @@
 	return answer, nil
 }
 
-// drainBody reads the body of a small refusal, and reports whether it reached the end.
-func (e *exchange) drainBody() bool {
-	if e.header.ConnectionClose() {
-		return false
+// readRefusal reads the body of a refusal as far as it arrives soon, since the refusal does
+// not have to wait for the rest. It returns an error if the body is broken: from an answer
+// that is not whole nothing follows.
+func (e *exchange) readRefusal() error {
+	conn := e.conn.conn
+	if err := conn.SetReadDeadline(time.Now().Add(maxDrainTime)); err != nil {
+		return nil // the call was cancelled; the head has arrived
 	}
-	if err := e.conn.conn.SetReadDeadline(time.Now().Add(maxDrainTime)); err != nil {
-		return false
+	if _, err := io.CopyN(io.Discard, e, request.MaxBufferedBodyBytes+1); http1.IsBroken(err) {
+		return err
 	}
-	if _, err := io.CopyN(io.Discard, e, request.MaxBufferedBodyBytes+1); !errors.Is(err, io.EOF) {
-		return false
+	if err := conn.SetReadDeadline(time.Time{}); err != nil {
+		e.ended = false
 	}
-	return e.conn.conn.SetReadDeadline(time.Time{}) == nil
+	return nil
 }
 
 // refusalFor returns the refusal of a call for an error of checkAnswer or run.
