Count broken answers and log their reasons

What operators saw: nothing. A broken answer was a call without an answer, like one of a server that had gone.

Change: the client of the backend server reports each answer that is broken, once, with the reason. A connection that ends without a byte of an answer and a call that was given up are not reported.

--- a/backend/client.go
+++ b/backend/client.go
@@ -25,6 +25,9 @@
 	// UnsafeIdleTimeout is the same for calls that must not be retried; with zero,
 	// each of them gets a new connection.
 	UnsafeIdleTimeout time.Duration
+	// OnBroken is called with each answer that is not as HTTP requires, or not whole, and
+	// why. It may be nil.
+	OnBroken func(call *request.Call, reason error)
 }
 
 // Client sends calls to the backend server of this VM.
--- a/backend/early_reset_test.go
+++ b/backend/early_reset_test.go
@@ -98,7 +98,9 @@
 			for size, kind := range map[int64]string{earlyUploadBytes: "a length", -1: "chunks"} {
 				t.Run(fmt.Sprintf("%s, %s, upload with %s", answer.name, end.name, kind), func(t *testing.T) {
 					client := newDialectClient(t, serveEarly(t, answer.text, end))
+					reasons := recordBroken(client)
 					body, err := receiveEarly(t, client, size)
+					reasons.check(t, 1)
 					assert.Assert(t, err != nil, "passes with %d bytes", len(body))
 					assert.Equal(t, request.AsRefusal(err).Outcome, request.Unknown)
 					assert.Equal(t, request.AsRefusal(err).Cause, request.CauseBackendFailed)
@@ -120,8 +122,10 @@
 		for _, end := range earlyEnds {
 			t.Run(name+", "+end.name, func(t *testing.T) {
 				client := newDialectClient(t, serveEarly(t, text, end))
+				reasons := recordBroken(client)
 				body, err := receiveEarly(t, client, earlyUploadBytes)
 				assert.NilError(t, err)
+				reasons.check(t, 0)
 				assert.Equal(t, body, cutBody)
 			})
 		}
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -17,11 +17,6 @@
 	"auburngap/request"
 )
 
-// errUnknownEnd is the error of an answer that may have been cut: only the end of its
-// connection ends it, and the request could not be written. If a reset was the reason,
-// the socket has reported it to the write, and a read finds an end in order.
-var errUnknownEnd = errors.New("answer without a length to a request that was not written whole")
-
 // exchange is one call on its connection.
 type exchange struct {
 	client         *Client
@@ -43,8 +38,10 @@
 	// body is nil for an answer without one.
 	body *http1.Body
 	// ended is set once the answer was read to its end.
-	ended    bool
-	finished atomic.Bool
+	ended bool
+	// reportedBroken is set once OnBroken was called.
+	reportedBroken bool
+	finished       atomic.Bool
 }
 
 func (e *exchange) run(call *request.Call, token string) (*request.Answer, error) {
@@ -124,6 +121,7 @@
 func (e *exchange) receive(call *request.Call) error {
 	e.body, e.ended = nil, false
 	if err := http1.ReadHead(e.conn.reader, &e.header); err != nil {
+		e.reportBroken(err)
 		return err
 	}
 	if call.Method == fasthttp.MethodHead || isBodyless(e.header.StatusCode()) {
@@ -131,12 +129,25 @@
 		return nil
 	}
 	if e.header.ContentLength() == http1.LengthUnknown && !e.sent {
-		return errUnknownEnd
+		// It may have been cut: if a reset has ended the write of the request, the socket has
+		// reported it there, and a read finds an end in order.
+		err := http1.ErrBroken.New("no length, and the request was not written whole")
+		e.reportBroken(err)
+		return err
 	}
 	e.body = http1.NewBody(e.conn.reader, &e.header)
 	return nil
 }
 
+// reportBroken calls OnBroken, once, if an error means that the answer is broken.
+func (e *exchange) reportBroken(err error) {
+	if e.client.config.OnBroken == nil || e.reportedBroken || !http1.IsBroken(err) {
+		return
+	}
+	e.reportedBroken = true
+	e.client.config.OnBroken(e.liveCall.Call, err)
+}
+
 // isBodyless reports whether answers of a status have no body.
 func isBodyless(status int) bool {
 	return status < http.StatusOK || status == http.StatusNoContent || status == http.StatusNotModified
@@ -167,6 +178,7 @@
 	if err == io.EOF {
 		e.ended = true
 	}
+	e.reportBroken(err)
 	return n, err
 }
 
--- a/backend/status_test.go
+++ b/backend/status_test.go
@@ -2,19 +2,25 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"auburngap/request"
 )
 
+// maxReasonBytes bounds a reason for which an answer is broken.
+const maxReasonBytes = 400
+
 // serveAnswer starts a server that answers each connection's first request with the text
 // of answer, in which ATTEMPT stands for the request's attempt ID. It sends on ended how
 // the connection ended, once for each: with io.EOF if the client closed it first.
@@ -36,18 +42,50 @@
 	return address, ended
 }
 
+// reportedReasons are the reasons for which answers were reported as broken.
+type reportedReasons struct {
+	mu      sync.Mutex
+	reasons []string
+}
+
+// recordBroken records the reasons that a client reports.
+func recordBroken(client *Client) *reportedReasons {
+	r := &reportedReasons{}
+	client.config.OnBroken = func(_ *request.Call, reason error) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.reasons = append(r.reasons, reason.Error())
+	}
+	return r
+}
+
+// check checks that the expected number of answers was reported, each with a reason that
+// is short.
+func (r *reportedReasons) check(t *testing.T, expected int) {
+	t.Helper()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	assert.Equal(t, len(r.reasons), expected, "%q", r.reasons)
+	for _, reason := range r.reasons {
+		assert.Assert(t, reason != "" && len(reason) <= maxReasonBytes, "%q", reason)
+	}
+}
+
 // checkBroken sends a call to a server that answers it with the text of a broken answer,
-// and keeps the connection open. Nothing must follow from the answer, and the connection
-// must be closed.
+// and keeps the connection open. Nothing must follow from the answer but a report, and the
+// connection must be closed.
 func checkBroken(t *testing.T, answer string) {
 	t.Helper()
 	address, ended := serveAnswer(t, answer)
-	got, err := attemptOf(t, newDialectClient(t, address), "a1")
+	client := newDialectClient(t, address)
+	reasons := recordBroken(client)
+	got, err := attemptOf(t, client, "a1")
 	assert.Assert(t, err != nil, "passes with %v", got)
 	refusal := request.AsRefusal(err)
 	assert.Equal(t, refusal.Cause, request.CauseBackendFailed)
 	assert.Equal(t, refusal.Outcome, request.Unknown)
 	assert.ErrorContains(t, <-ended, "EOF")
+	reasons.check(t, 1)
 }
 
 // TestBadStatus guards against an answer whose status line is not one of HTTP and that
@@ -125,3 +163,28 @@
 		t.Run(fmt.Sprintf("%q", interim), func(t *testing.T) { checkBroken(t, interim+answer) })
 	}
 }
+
+// TestNoAnswerIsNotBroken checks that only what a server has written is reported as a broken
+// answer: not a connection that ends without an answer, and not a call that was given up.
+func TestNoAnswerIsNotBroken(t *testing.T) {
+	for _, sent := range []string{"", "HTTP/1.1 200 OK\r\n", claims["success"] + "Content-Length: 5\r\n\r\nbo", claims["success"] + "Transfer-Encoding: chunked\r\n\r\n2\r\nbo"} {
+		t.Run(fmt.Sprintf("given up after %q", sent), func(t *testing.T) {
+			address, ended := serveAnswer(t, sent)
+			client := newDialectClient(t, address)
+			reasons := recordBroken(client)
+			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+			defer cancel()
+			_, err := client.Serve(ctx, newGet())
+			assert.Equal(t, request.AsRefusal(err).Cause, request.CauseDeadline)
+			assert.ErrorContains(t, <-ended, "EOF")
+			reasons.check(t, 0)
+		})
+	}
+	for _, resets := range []bool{false, true} {
+		client := newDialectClient(t, serveCut(t, "", resets))
+		reasons := recordBroken(client)
+		_, err := attemptOf(t, client, "a1")
+		assert.Equal(t, request.AsRefusal(err).Outcome, request.Unknown)
+		reasons.check(t, 0)
+	}
+}
--- a/backend/trailer_test.go
+++ b/backend/trailer_test.go
@@ -56,10 +56,13 @@
 			for _, before := range []string{"", "Checksum: 1\r\n"} {
 				t.Run(fmt.Sprintf("%d bytes, %q%q", size, before, field), func(t *testing.T) {
 					address, ended := serveAnswer(t, head+inChunks(size)+before+field+"\r\n\r\n")
-					body, trailers, err := readAnswer(t, newDialectClient(t, address), newGet())
+					client := newDialectClient(t, address)
+					reasons := recordBroken(client)
+					body, trailers, err := readAnswer(t, client, newGet())
 					assert.Assert(t, err != nil, "passes with %d bytes and %q", len(body), trailers)
 					assert.Equal(t, request.AsRefusal(err).Outcome, request.Unknown)
 					assert.ErrorContains(t, <-ended, "EOF")
+					reasons.check(t, 1)
 				})
 			}
 		}
--- a/node/hosted_wire.go
+++ b/node/hosted_wire.go
@@ -129,6 +129,7 @@
 		Lineage:           h.lineage,
 		IdleTimeout:       backendIdleTimeout,
 		UnsafeIdleTimeout: unsafeIdleTimeout,
+		OnBroken:          newBrokenAnswers(h.logger, h.metrics.Scope).record,
 	})
 	h.local = &localHandler{
 		next:      h.backendClient,
--- a/node/wire.go
+++ b/node/wire.go
@@ -67,7 +67,11 @@
 // wireDecisions creates the components that decide on calls.
 func (n *Node) wireDecisions() {
 	s := n.config.Settings
-	n.backendClient = backend.NewClient(backend.ClientConfig{Tokens: n.tokens, Announced: n.announced.Current})
+	n.backendClient = backend.NewClient(backend.ClientConfig{
+		Tokens:    n.tokens,
+		Announced: n.announced.Current,
+		OnBroken:  newBrokenAnswers(n.logger, n.metrics.Scope).record,
+	})
 	n.local = &localHandler{
 		announced: n.announced,
 		guard:     newGuard(n.bundles.Index, admission.Config{}),
