Take no acknowledgement from a broken response of the store

What could be seen: a lease counted as renewed, or a write as done, by a response with the status 000, with a blank in the name of a field or a trailer, with a folded value or with a body that is framed twice. In the same way an entry counted as absent (404), changed (409, 412) or compacted (410). Found while the way of the same cause to the store was looked at; not reported.

Cause: platform.Store and kv.HTTPClient read with the library's lenient reader, and for most calls the status alone is the acknowledgement.

A broken response is kv.ErrUnavailable, as no response is: the call may have taken effect. Its connection is closed. Like before, no call is sent twice.

Cut responses, with a length, in chunks or without either, were handled before, and so was an early response before a reset (TestEarlyResponseCutByReset): the library gives a call up whose request it cannot write.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"net/netip"
 	"strconv"
 	"sync/atomic"
@@ -124,7 +123,7 @@
 		e.reportBroken(err)
 		return err
 	}
-	if call.Method == fasthttp.MethodHead || isBodyless(e.header.StatusCode()) {
+	if !http1.HasBody(call.Method, e.header.StatusCode()) {
 		e.ended = true
 		return nil
 	}
@@ -148,11 +147,6 @@
 	e.client.config.OnBroken(e.liveCall.Call, err)
 }
 
-// isBodyless reports whether answers of a status have no body.
-func isBodyless(status int) bool {
-	return status < http.StatusOK || status == http.StatusNoContent || status == http.StatusNotModified
-}
-
 func (e *exchange) answer(call *request.Call) *request.Answer {
 	header := &e.header
 	size := max(int64(header.ContentLength()), -1)
--- a/http1/body.go
+++ b/http1/body.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"net/http/httputil"
 
 	"github.com/valyala/fasthttp"
@@ -18,6 +19,11 @@
 	LengthUnknown = -2
 )
 
+// HasBody reports whether a final response to a request of a method has a body.
+func HasBody(method string, status int) bool {
+	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 // Body is the body that follows the head of a response. Its Read returns io.EOF only once
 // the body has ended as its head says, and ErrBroken if it cannot.
 type Body struct {
--- a/kv/http.go
+++ b/kv/http.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"auburngap/http1"
 )
 
 // The defaults of HTTPConfig.
@@ -46,12 +48,8 @@
 	config.Timeout = cmp.Or(config.Timeout, DefaultTimeout)
 	config.LongestWait = cmp.Or(config.LongestWait, DefaultLongestWait)
 	host := &fasthttp.HostClient{
-		Addr:                      config.Address.String(),
-		MaxIdemponentCallAttempts: 1,
-		MaxResponseBodySize:       maxResponseBytes,
-		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
-			return false, false
-		},
+		Addr:                config.Address.String(),
+		MaxResponseBodySize: maxResponseBytes,
 	}
 	return &HTTPClient{config: config, host: host}
 }
@@ -163,7 +161,7 @@
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.Header.SetContentType("application/json")
 	req.SetBodyRaw(body)
-	if err := c.host.DoDeadline(req, resp, deadline); err != nil {
+	if err := http1.Do(c.host, req, resp, deadline); err != nil {
 		return exchangeResult{err: err}
 	}
 	return exchangeResult{status: resp.StatusCode(), body: append([]byte(nil), resp.Body()...)}
