--- a/httpconn/conn.go
+++ b/httpconn/conn.go
@@ -21,7 +21,6 @@
 	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"auburngap/tcpconn"
@@ -246,21 +245,4 @@
 
 // IsIdle reports whether the connection is open and has no byte to read. It does
 // not block.
-func (c *Conn) IsIdle() bool {
-	source, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := source.SyscallConn()
-	if err != nil {
-		return false
-	}
-	idle := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, peeked := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		idle = errors.Is(peeked, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && idle
-}
+func (c *Conn) IsIdle() bool { return tcpconn.IsIdle(c.Conn) }
--- a/kv/fake/broken_test.go
+++ b/kv/fake/broken_test.go
@@ -211,3 +211,38 @@
 		}
 	}
 }
+
+// TestStrayResponseIsNoAcknowledgement guards against a lease that counts as renewed by
+// bytes that the service had written behind an earlier response, together with it or later.
+func TestStrayResponseIsNoAcknowledgement(t *testing.T) {
+	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(storeBody), storeBody)
+	for _, name := range []string{"HTTPClient", "platform.Store"} {
+		for _, together := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, together %v", name, together), func(t *testing.T) {
+				received, written := make(chan struct{}), make(chan struct{})
+				store := &rawStore{}
+				store.respond = func(conn *net.TCPConn, number int64) bool {
+					if number > 0 {
+						_, _ = io.WriteString(conn, "HTTP/1.1 404 x\r\nContent-Length: 2\r\n\r\n{}")
+						return true
+					}
+					defer close(written)
+					if together {
+						_, _ = io.WriteString(conn, whole+whole)
+						return true
+					}
+					_, _ = io.WriteString(conn, whole)
+					<-received
+					_, _ = io.WriteString(conn, whole)
+					return true
+				}
+				client := storeClients(t, store.serve(t))[name]
+				assert.NilError(t, client.Renew(t.Context(), 7))
+				close(received)
+				<-written
+				err := client.Renew(t.Context(), 7)
+				assert.Assert(t, errorx.IsOfType(err, kv.ErrNotFound), "%v", err)
+			})
+		}
+	}
+}
