Check the answers that come over another node, too

What could be seen: while the nodes of a site are replaced, a node of an earlier version reads its server's answer leniently and passes it on in frames; the new node beside the caller believed it.

Cause: a frame's status, names and values were taken as they came, as the node that had read them had checked them.

Bodies that break off were handled before: a frame ends them, or marks them as aborted (TestBrokenBody).

--- a/http1/head.go
+++ b/http1/head.go
@@ -112,13 +112,28 @@
 		return nil
 	}
 	name, value, hasColon := bytes.Cut(line, []byte(":"))
-	switch {
-	case !hasColon:
+	if !hasColon {
 		return ErrBroken.New("no colon in field %.64q", line)
+	}
+	return CheckField(name, value)
+}
+
+// CheckField returns ErrBroken if HTTP does not allow a name or a value in a head or in
+// trailers.
+func CheckField(name, value []byte) error {
+	switch {
 	case !httpguts.ValidHeaderFieldName(string(name)):
-		return ErrBroken.New("name of field %.64q", line)
+		return ErrBroken.New("name of field %.64q", name)
 	case !httpguts.ValidHeaderFieldValue(string(value)):
-		return ErrBroken.New("value of field %.64q", line)
+		return ErrBroken.New("value of field %.64q", name)
+	}
+	return nil
+}
+
+// CheckStatus returns ErrBroken if a status is not one of a final response.
+func CheckStatus(status int) error {
+	if status < http.StatusOK || status > maxStatus {
+		return ErrBroken.New("status %d", status)
 	}
 	return nil
 }
--- a/peer/body.go
+++ b/peer/body.go
@@ -23,6 +23,8 @@
 	// One of onEnd and onBroken is called, once: when the body has ended or broken off.
 	onEnd    func()
 	onBroken func()
+	// checkTrailers checks the trailers; it may be nil.
+	checkTrailers func([]request.Header) error
 }
 
 // Read implements io.Reader. It returns ErrBroken if the body breaks off.
@@ -68,6 +70,11 @@
 	if b.end.GetAborted() {
 		return ErrBroken.New("the sender aborted the body")
 	}
+	if b.checkTrailers != nil {
+		if err := b.checkTrailers(b.trailers()); err != nil {
+			return err
+		}
+	}
 	b.ended = true
 	if b.onEnd != nil {
 		b.onEnd()
--- a/peer/call_client.go
+++ b/peer/call_client.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"auburngap/http1"
 	"auburngap/peer/peerpb"
 	"auburngap/request"
 )
@@ -144,14 +145,37 @@
 	if err := Decode(payload, &message); err != nil {
 		return nil, err
 	}
-	e.body.frames = e.frames
 	answer := AnswerFromMessage(&message)
+	if err := checkHead(answer); err != nil {
+		return nil, err
+	}
+	e.body.frames = e.frames
+	e.body.checkTrailers = checkFields
 	answer.Body = e
 	answer.Trailers = e.body.trailers
 	answer.Report = e.body.report
 	return answer, nil
 }
 
+// checkHead checks the head of an answer. The peer may run an earlier version, which reads
+// the heads of backend servers less strictly.
+func checkHead(answer *request.Answer) error {
+	if err := http1.CheckStatus(answer.Status); err != nil {
+		return err
+	}
+	return checkFields(answer.Headers)
+}
+
+// checkFields checks headers or trailers.
+func checkFields(fields []request.Header) error {
+	for _, field := range fields {
+		if err := http1.CheckField(field.Name, field.Value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Read implements io.Reader for the answer's body.
 func (e *exchange) Read(p []byte) (int, error) {
 	return e.body.Read(p)
