Deliver an early answer to a long upload over another node

What callers saw: a server answered a long upload early, with a whole answer that had a length, and the caller of another node got 504 at its deadline. A refusal came as late. Found while the answers over another node were tested; not reported.

Cause: the node beside the server read no more of the body once the answer was known, and the node beside the caller went on writing it until the deadline, since a stream's window was full and nobody looked for an answer before the body was sent.

Small bodies fit in the window and are sent as before. An answer still waits for a caller that pauses in its upload.

--- a/peer/call_client.go
+++ b/peer/call_client.go
@@ -77,51 +77,76 @@
 	sent   bool
 	body   bodyReader
 	closed atomic.Bool
+	// answerDone is closed once watchAnswer no longer reads the stream; nil without it.
+	answerDone <-chan struct{}
 }
 
 func (e *exchange) run(call *request.Call) (*request.Answer, error) {
-	if err := e.send(call); err != nil {
+	writeErr, err := e.send(call)
+	if err != nil {
 		return nil, err
 	}
-	return e.receive()
+	answer, err := e.receive()
+	if writeErr != nil && (err == nil || isRefusal(err)) {
+		return answer, err // the peer has answered before it had read the whole body
+	}
+	if writeErr != nil {
+		return nil, writeErr
+	}
+	return answer, err
 }
 
-func (e *exchange) send(call *request.Call) error {
+// send sends a call. It returns a write error if the peer may have answered before it had
+// read the whole body, or an error after which it gets no answer.
+func (e *exchange) send(call *request.Call) (writeErr, err error) {
 	w := NewFrameWriter(e.stream)
 	defer w.Release()
 	if err := w.Add(KindCall, callToMessage(call)); err != nil {
-		return err
+		return nil, err
 	}
 	e.sent = true
+	if !e.bufferable {
+		e.watchAnswer()
+	}
 	readErr, writeErr := copyBody(w, call.Body)
 	if writeErr != nil {
-		return e.pendingRefusal(writeErr)
+		return writeErr, nil
 	}
 	end := &peerpb.End{Aborted: readErr != nil}
 	if call.Trailers != nil && readErr == nil {
 		end.Trailers = headersToMessage(call.Trailers())
 	}
 	if err := w.Add(KindEnd, end); err != nil {
-		return err
+		return nil, err
 	}
 	if err := w.Flush(); err != nil {
-		return e.pendingRefusal(err)
+		return err, nil
 	}
-	return readErr
+	return nil, readErr
 }
 
-// pendingRefusal returns the refusal of a peer that closed the stream before it
-// had read the whole body, or err if the peer sent none.
-func (e *exchange) pendingRefusal(err error) error {
-	if _, receiveErr := e.receive(); receiveErr != nil {
-		if refusal, ok := receiveErr.(*request.Refusal); ok {
-			return refusal
+// watchAnswer waits for the answer while a long body is sent, and then ends the writing: the
+// peer reads no more of it. The frames can be read once answerDone is closed.
+func (e *exchange) watchAnswer() {
+	done := make(chan struct{})
+	e.answerDone = done
+	go func() {
+		defer close(done)
+		if _, err := e.frames.buffer.Peek(1); err == nil {
+			_ = e.stream.SetWriteDeadline(pastDeadline) // an error means that the stream is closed
 		}
-	}
-	return err
+	}()
+}
+
+func isRefusal(err error) bool {
+	_, ok := err.(*request.Refusal)
+	return ok
 }
 
 func (e *exchange) receive() (*request.Answer, error) {
+	if e.answerDone != nil {
+		<-e.answerDone
+	}
 	kind, payload, err := e.frames.Next()
 	if err != nil {
 		return nil, ErrBroken.Wrap(err, "answer")
@@ -196,6 +221,10 @@
 		_ = e.stream.Close()
 		return
 	}
+	if e.answerDone != nil {
+		_ = e.stream.Close() // ends the watch
+		<-e.answerDone
+	}
 	reusable := e.bufferable && e.body.ended && e.frames.Buffered() == 0
 	if e.frames.releaseLarge() {
 		shrinkStream(e.stream.Conn)
