--- a/backend/framing_test.go
+++ b/backend/framing_test.go
@@ -24,6 +24,7 @@
 			"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity",
 			"Transfer-Encoding: chunked, chunked", "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: chunked, gzip", "Transfer-Encoding: identity",
 			"Transfer-Encoding: xchunked", "Transfer-Encoding: \"chunked\"", "Transfer-Encoding:", "Transfer-Encoding: chunked;a=b",
+			"Transfer-Encoding: " + strings.Repeat("x", 2000), "Content-Length: " + strings.Repeat("x", 2000),
 		} {
 			for claim, head := range claims {
 				head = strings.Replace(head, "HTTP/1.1", version, 1)
--- a/peer/call_client.go
+++ b/peer/call_client.go
@@ -87,10 +87,7 @@
 		return nil, err
 	}
 	answer, err := e.receive()
-	if writeErr != nil && (err == nil || isRefusal(err)) {
-		return answer, err // the peer has answered before it had read the whole body
-	}
-	if writeErr != nil {
+	if writeErr != nil && err != nil && !isRefusal(err) {
 		return nil, writeErr
 	}
 	return answer, err
