--- a/backend/broken_refusal_test.go
+++ b/backend/broken_refusal_test.go
@@ -13,41 +13,39 @@
 // TestBrokenRefusals guards against a "not run" or 421 that is believed although its
 // answer is not whole.
 func TestBrokenRefusals(t *testing.T) {
+	const chunked = "Transfer-Encoding: chunked\r\n\r\n"
+	sound := []string{
+		"Content-Length: 0\r\n\r\n",
+		fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(cutBody), cutBody),
+		chunked + inOneChunk,
+		chunked + strings.TrimSuffix(inOneChunk, "\r\n") + "A: 1\r\n\r\n",
+	}
+	malformed := []string{
+		"12\r\n" + cutBody + "\r\n0\r\n\r\n", "c\r\n" + cutBody + "0\r\n\r\n", "c\n" + cutBody + "\r\n0\r\n\r\n", "x\r\n", "\r\n",
+		"c\r\n" + cutBody + "\r\n0\r\nA B: 1\r\n\r\n", "0\r\nA : 1\r\n\r\n",
+	}
+	// check checks whether a refusal stands of which a part was sent.
+	check := func(sent string, resets, stands bool) {
+		t.Helper()
+		_, err := attemptOf(t, newDialectClient(t, serveCut(t, sent, resets)), "a1")
+		assert.Check(t, (request.AsRefusal(err).Outcome == request.NotRun) == stands, "after %q, reset %v: %v", sent, resets, err)
+	}
 	for _, claim := range []string{"not run", "misdirected"} {
-		head := strings.ReplaceAll(claims[claim], "ATTEMPT", "a1")
 		for _, closes := range []string{"", "Connection: close\r\n"} {
-			sound := map[string]string{
-				"length":   fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(cutBody), cutBody),
-				"chunks":   "Transfer-Encoding: chunked\r\n\r\n" + inOneChunk,
-				"trailers": "Transfer-Encoding: chunked\r\n\r\n" + strings.TrimSuffix(inOneChunk, "\r\n") + "A: 1\r\n\r\n",
-				"no body":  "Content-Length: 0\r\n\r\n",
-			}
-			for framing, rest := range sound {
-				whole := head + closes + rest
-				check := func(sent string, resets, stands bool) {
-					t.Helper()
-					_, err := attemptOf(t, newDialectClient(t, serveCut(t, sent, resets)), "a1")
-					assert.Check(t, (request.AsRefusal(err).Outcome == request.NotRun) == stands, "%s, %s, after %q, reset %v: %v", claim, framing, sent, resets, err)
-				}
-				for sent := range len(whole) {
-					check(whole[:sent], false, false)
-					check(whole[:sent], true, false)
+			head := strings.ReplaceAll(claims[claim], "ATTEMPT", "a1") + closes
+			for _, rest := range sound {
+				whole := head + rest
+				for _, resets := range []bool{false, true} {
+					for sent := range len(whole) {
+						check(whole[:sent], resets, false)
+					}
+					check(whole, resets, true)
 				}
-				check(whole, false, true)
-				check(whole, true, true)
-			}
-			check := func(sent string, resets, stands bool) {
-				t.Helper()
-				_, err := attemptOf(t, newDialectClient(t, serveCut(t, head+closes+sent, resets)), "a1")
-				assert.Check(t, (request.AsRefusal(err).Outcome == request.NotRun) == stands, "%s, after %q, reset %v: %v", claim, sent, resets, err)
 			}
-			check("\r\n"+cutBody, false, true)
-			check("\r\n"+cutBody, true, false)
-			for _, broken := range []string{
-				"12\r\n" + cutBody + "\r\n0\r\n\r\n", "c\r\n" + cutBody + "0\r\n\r\n", "c\n" + cutBody + "\r\n0\r\n\r\n", "x\r\n", "\r\n",
-				"c\r\n" + cutBody + "\r\n0\r\nA B: 1\r\n\r\n", "0\r\nA : 1\r\n\r\n",
-			} {
-				check("Transfer-Encoding: chunked\r\n\r\n"+broken, false, false)
+			check(head+"\r\n"+cutBody, false, true)
+			check(head+"\r\n"+cutBody, true, false)
+			for _, rest := range malformed {
+				check(head+chunked+rest, false, false)
 			}
 		}
 	}
