--- a/backend/cut_answer_test.go
+++ b/backend/cut_answer_test.go
@@ -1,11 +1,9 @@
 package backend
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"testing"
@@ -33,14 +31,10 @@
 // connection or resets it.
 func serveCut(t *testing.T, response string, resets bool) netip.AddrPort {
 	t.Helper()
-	return acceptAll(t, func(conn net.Conn) {
-		_, _ = http.ReadRequest(bufio.NewReader(conn))
-		_, _ = io.WriteString(conn, response)
-		if resets {
-			_ = conn.(*net.TCPConn).SetLinger(0)
-		}
-		_ = conn.Close()
-	})
+	if resets {
+		return serveEarly(t, response, earlyEnd{end: reset})
+	}
+	return serveEarly(t, response, earlyEnd{end: closeConn})
 }
 
 // receiveCut sends a call and returns the body of a success that reads as whole, and
--- a/backend/endless_test.go
+++ b/backend/endless_test.go
@@ -131,8 +131,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), endlessDeadline)
 	defer cancel()
-	call := &request.Call{Service: "tracking", Method: "GET", URI: []byte("/"), Host: "h", AttemptID: "a1"}
-	call.Headers = []request.Header{{Name: []byte(testDialect.AttemptID), Value: []byte("a1")}}
+	call := newAttempt("a1")
 	call.Context.Deadline = time.Now().Add(endlessDeadline)
 	answer, err := client.Serve(ctx, call)
 	if err != nil {
--- a/backend/framing_test.go
+++ b/backend/framing_test.go
@@ -56,7 +56,7 @@
 				body = inOneChunk
 			}
 			text := text + testDialect.AttemptID + ": a1\r\n\r\n" + body
-			got, _, err := readAnswer(t, newDialectClient(t, serveCut(t, text, false)), newGet())
+			got, _, err := readAnswer(t, newDialectClient(t, serveCut(t, text, false)), newAttempt("a1"))
 			assert.NilError(t, err)
 			assert.Equal(t, got, cutBody)
 		})
--- a/backend/repeated_refusal_test.go
+++ b/backend/repeated_refusal_test.go
@@ -75,15 +75,20 @@
 	return client
 }
 
+// newAttempt returns an attempt of a call that must not run twice.
+func newAttempt(attempt string) *request.Call {
+	call := &request.Call{Service: "tracking", Method: http.MethodGet, URI: []byte("/"), Host: "h", AttemptID: attempt}
+	call.Headers = []request.Header{{Name: []byte(testDialect.AttemptID), Value: []byte(attempt)}}
+	call.Context.Deadline = time.Now().Add(2 * time.Second)
+	return call
+}
+
 // attemptOf sends one attempt of a call that must not run twice.
 func attemptOf(t *testing.T, client *Client, attempt string) (*request.Answer, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	t.Cleanup(cancel)
-	call := &request.Call{Service: "tracking", Method: "GET", URI: []byte("/"), Host: "h", AttemptID: attempt}
-	call.Headers = []request.Header{{Name: []byte(testDialect.AttemptID), Value: []byte(attempt)}}
-	call.Context.Deadline = time.Now().Add(2 * time.Second)
-	answer, err := client.Serve(ctx, call)
+	answer, err := client.Serve(ctx, newAttempt(attempt))
 	if err == nil {
 		assert.NilError(t, answer.Body.Close())
 	}
--- a/backend/status_test.go
+++ b/backend/status_test.go
@@ -97,7 +97,7 @@
 			reasons := recordBroken(client)
 			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 			defer cancel()
-			_, err := client.Serve(ctx, newGet())
+			_, err := client.Serve(ctx, newAttempt("a1"))
 			assert.Equal(t, request.AsRefusal(err).Cause, request.CauseDeadline)
 			assert.ErrorContains(t, <-ended, "EOF")
 			reasons.check(t, 0)
--- a/backend/trailer_test.go
+++ b/backend/trailer_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"strings"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -31,14 +30,6 @@
 	return string(data), answer.Trailers(), nil
 }
 
-// newGet returns the attempt a1 of a call that must not be repeated.
-func newGet() *request.Call {
-	call := &request.Call{Service: "tracking", Method: "GET", URI: []byte("/"), Host: "h", AttemptID: "a1"}
-	call.Headers = []request.Header{{Name: []byte(testDialect.AttemptID), Value: []byte("a1")}}
-	call.Context.Deadline = time.Now().Add(2 * time.Second)
-	return call
-}
-
 // inChunks returns a body of the stated size in chunks, up to its last chunk, which is
 // empty.
 func inChunks(size int) string {
@@ -58,7 +49,7 @@
 					address, ended := serveAnswer(t, head+inChunks(size)+before+field+"\r\n\r\n")
 					client := newDialectClient(t, address)
 					reasons := recordBroken(client)
-					body, trailers, err := readAnswer(t, client, newGet())
+					body, trailers, err := readAnswer(t, client, newAttempt("a1"))
 					assert.Assert(t, err != nil, "passes with %d bytes and %q", len(body), trailers)
 					assert.Equal(t, request.AsRefusal(err).Outcome, request.Unknown)
 					assert.ErrorContains(t, <-ended, "EOF")
@@ -76,7 +67,7 @@
 	whole = strings.ReplaceAll(whole, "ATTEMPT", "a1")
 	for cut := strings.Index(whole, "0\r\n"); cut < len(whole); cut++ {
 		for _, resets := range []bool{false, true} {
-			_, _, err := readAnswer(t, newDialectClient(t, serveCut(t, whole[:cut], resets)), newGet())
+			_, _, err := readAnswer(t, newDialectClient(t, serveCut(t, whole[:cut], resets)), newAttempt("a1"))
 			assert.Check(t, err != nil && request.AsRefusal(err).Outcome == request.Unknown, "passes, cut before %q", whole[cut:])
 		}
 	}
@@ -96,7 +87,7 @@
 					server := &earlyServer{answer: text + "\r\n"}
 					client := newDialectClient(t, acceptAll(t, server.serve))
 					for range 2 {
-						body, trailers, err := readAnswer(t, client, newGet())
+						body, trailers, err := readAnswer(t, client, newAttempt("a1"))
 						assert.NilError(t, err)
 						assert.Equal(t, len(body), size/1000*1000)
 						for field := range strings.SplitSeq(trailer, "\r\n") {
--- a/backend/unsent_body_test.go
+++ b/backend/unsent_body_test.go
@@ -55,9 +55,8 @@
 
 // newUpload returns the attempt a1 with a body, whose size is -1 for one in chunks.
 func newUpload(body io.Reader, size int64) *request.Call {
-	call := &request.Call{Service: "tracking", Method: http.MethodPost, URI: []byte("/"), Host: "h", AttemptID: "a1", Body: body, BodySize: size}
-	call.Headers = []request.Header{{Name: []byte(testDialect.AttemptID), Value: []byte("a1")}}
-	call.Context.Deadline = time.Now().Add(2 * time.Second)
+	call := newAttempt("a1")
+	call.Method, call.Body, call.BodySize = http.MethodPost, body, size
 	return call
 }
 
