Show the store's era, answers that contradict the view and entries that are not taken

Cause: the lines about the site's view could not tell a view that compares revisions of two histories of the store from one whose source is behind; an entry that was not taken left no line, and nothing showed the era that the store names.

Change: the gauge store_era; 'roster: new era of the service', 'answer is older than the view', 'entries not taken'; 'older version refused' says its revision and source. No decision changes.

--- a/kv/fake/fake.go
+++ b/kv/fake/fake.go
@@ -50,6 +50,8 @@
 	counts    Counts
 	// compactedBefore is the revision before which changes are forgotten.
 	compactedBefore kv.Revision
+	// era is the number of times that the service came back from a copy.
+	era kv.Era
 
 	peak               Peak
 	currentSecond      int64  // the clock's current Unix second
@@ -72,6 +74,13 @@
 	}
 }
 
+// Era implements kv.Client.
+func (s *Service) Era() kv.Era {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // Get implements kv.Client.
 func (s *Service) Get(ctx context.Context, key string) (kv.Entry, error) {
 	var found kv.Entry
--- a/kv/http.go
+++ b/kv/http.go
@@ -103,6 +103,9 @@
 	return err
 }
 
+// Era implements Client. The protocol names no era.
+func (c *HTTPClient) Era() Era { return 0 }
+
 type exchangeResult struct {
 	status int
 	body   []byte
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -39,7 +39,12 @@
 	ErrInvalid = errs.NewType("invalid")
 )
 
-// Revision numbers the changes of the whole service; it only increases.
+// Era numbers the histories of the service: it rises each time that the service comes back
+// from an older copy of its data, after which it gives out revisions and lease IDs again. It
+// is zero for a service that never does.
+type Era uint32
+
+// Revision numbers the changes of the whole service; it only increases within an era.
 type Revision uint64
 
 // Absent as IfRevision requires that the key does not exist.
@@ -88,4 +93,6 @@
 	Renew(ctx context.Context, lease LeaseID) error
 	// Revoke ends the lease and deletes its entries.
 	Revoke(ctx context.Context, lease LeaseID) error
+	// Era returns the latest era that an answer has named.
+	Era() Era
 }
--- a/node/hosted_roster.go
+++ b/node/hosted_roster.go
@@ -72,7 +72,8 @@
 	before := h.index.Load()
 	if before != nil && decoded.Version <= before.Bundle.Version {
 		h.logger.Warn("bundle: older version refused",
-			zap.Uint64("version", decoded.Version), zap.Uint64("inForce", before.Bundle.Version))
+			zap.Uint64("version", decoded.Version), zap.Uint64("inForce", before.Bundle.Version),
+			zap.Uint64("revision", uint64(entry.Revision)), zap.Stringer("from", view.Source))
 		return
 	}
 	index := before.Next(decoded)
--- a/roster/follower.go
+++ b/roster/follower.go
@@ -83,6 +83,10 @@
 	// source is the source of the last successful read.
 	source   Source
 	lastRead lastRead
+	// era is the latest era of the service that was logged.
+	era kv.Era
+	// answerWasBehind is set while answers of the service have lower revisions than the view.
+	answerWasBehind bool
 	// changed is closed at the next change.
 	changed chan struct{}
 	// malformed holds the keys that OnMalformed was called with.
--- a/roster/follower_test.go
+++ b/roster/follower_test.go
@@ -194,6 +194,8 @@
 	return c.entries, 1, nil
 }
 
+func (c *unresponsiveClient) Era() kv.Era { return 0 }
+
 func (c *unresponsiveClient) Watch(ctx context.Context, _ string, _ kv.Revision) ([]kv.Entry, kv.Revision, error) {
 	<-ctx.Done()
 	return nil, 0, kv.ErrUnavailable.Wrap(ctx.Err(), "watch")
--- a/roster/mirror.go
+++ b/roster/mirror.go
@@ -105,17 +105,35 @@
 	if m.isRemovedAfter(entry) {
 		return false
 	}
-	if m.isMember(entry.Key) && len(entry.Value) > maxMemberBytes {
-		// It describes no valid node; its first bytes still tell that.
-		entry.Value = bytes.Clone(entry.Value[:maxMemberBytes+1])
-	}
-	m.entries[entry.Key] = entry
+	m.entries[entry.Key] = m.trimmed(entry)
 	delete(m.lapsed, entry.Key)
 	return true
 }
 
+// olderEntries returns those of the entries that differ from the known ones of their keys
+// and are not applied, because they are older.
+func (m *Mirror) olderEntries(entries []kv.Entry) []kv.Entry {
+	var older []kv.Entry
+	for _, entry := range entries {
+		known, ok := m.entries[entry.Key]
+		if ok && known.Revision >= entry.Revision && !bytes.Equal(known.Value, m.trimmed(entry).Value) {
+			older = append(older, entry)
+		}
+	}
+	return older
+}
+
 func (m *Mirror) isMember(key string) bool { return strings.HasPrefix(key, m.memberPrefix) }
 
+// trimmed returns an entry as the mirror keeps it. Of a value that is too long to describe
+// a valid node, the first bytes still tell that.
+func (m *Mirror) trimmed(entry kv.Entry) kv.Entry {
+	if m.isMember(entry.Key) && len(entry.Value) > maxMemberBytes {
+		entry.Value = bytes.Clone(entry.Value[:maxMemberBytes+1])
+	}
+	return entry
+}
+
 // isRemovedAfter reports whether the key of an entry was removed after the entry was
 // written.
 func (m *Mirror) isRemovedAfter(entry kv.Entry) bool {
--- a/roster/reading.go
+++ b/roster/reading.go
@@ -101,7 +101,7 @@
 		}
 		return
 	}
-	f.handleSuccess(read.source, delta, read.startedAt-age)
+	f.handleSuccess(read, delta, read.startedAt-age)
 	if read.source.IsService() {
 		clock.Sleep(ctx, f.startPause(read))
 	}
@@ -170,17 +170,44 @@
 
 // handleSuccess records a successful read of a source and applies its delta, which was
 // up to date at confirmedAt.
-func (f *Follower) handleSuccess(source Source, delta Delta, confirmedAt time.Duration) {
+func (f *Follower) handleSuccess(read *sourceRead, delta Delta, confirmedAt time.Duration) {
+	source := read.source
 	f.mu.Lock()
 	f.sources.Succeeded(source)
 	if f.failing || f.mirror.Revision() == 0 || source.IsService() != f.source.IsService() {
 		f.config.Logger.Info("roster: reading", zap.Stringer("from", source), zap.Bool("wasLost", f.failing), zap.Uint64("revision", uint64(delta.Revision)))
 	}
+	f.logContradictions(read, delta)
 	f.failing, f.source = false, source
 	f.mu.Unlock()
 	f.apply(source, delta, confirmedAt)
 }
 
+// logContradictions logs what an answer of the service says that contradicts what was
+// known when its read began: another era, a lower revision, or an entry that is older than
+// the known one. The caller must hold the lock.
+func (f *Follower) logContradictions(read *sourceRead, delta Delta) {
+	if !read.source.IsService() {
+		return
+	}
+	if era := f.config.Client.Era(); era != f.era {
+		f.config.Logger.Warn("roster: new era of the service", zap.Uint32("era", uint32(era)), zap.Uint32("before", uint32(f.era)),
+			zap.Uint64("revision", uint64(delta.Revision)), zap.Uint64("known", uint64(read.revision)))
+		f.era = era
+	}
+	isBehind := delta.Revision < read.revision
+	if isBehind && !f.answerWasBehind {
+		f.config.Logger.Warn("roster: answer is older than the view", zap.Stringer("from", read.source),
+			zap.Uint64("revision", uint64(delta.Revision)), zap.Uint64("known", uint64(read.revision)))
+	}
+	f.answerWasBehind = isBehind
+	if ignored := f.mirror.olderEntries(delta.Entries); len(ignored) > 0 {
+		known, _ := f.mirror.Entry(ignored[0].Key)
+		f.config.Logger.Warn("roster: entries not taken", zap.Int("count", len(ignored)), zap.String("first", ignored[0].Key),
+			zap.Uint64("revision", uint64(ignored[0].Revision)), zap.Uint64("known", uint64(known.Revision)))
+	}
+}
+
 func (f *Follower) handleFailure(read *sourceRead, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
