Let the stand-in of the store come back from a copy of its data

Cause: the leading hypothesis of the missed configuration is a store that came back from a copy some seconds old. No test could play it: the fake service had no way back, and its HTTP side named no era.

Change: Service.Copy and Service.Restore in kv/fake.

--- a/kv/fake/fake.go
+++ b/kv/fake/fake.go
@@ -8,6 +8,9 @@
 //	entry, err := service.Get(ctx, "bundle/head") // kv.ErrUnavailable
 //	calls := service.Counts()
 //
+//	saved := service.Copy()
+//	service.Restore(saved)                        // what was written since is gone
+//
 //	err := fake.Serve(ctx, service, listener)     // the same over HTTP
 //	admin := fake.Admin{Address: address}         // faults and counts over HTTP
 //
--- a/kv/fake/watch.go
+++ b/kv/fake/watch.go
@@ -10,8 +10,10 @@
 )
 
 // Watch implements kv.Client. It returns the latest state of each key that changed
-// after the revision, ordered by revision. A waiting watch counts as one call.
+// after the revision, ordered by revision. A waiting watch counts as one call. From a
+// revision above the service's own it fails with kv.ErrCompacted.
 func (s *Service) Watch(ctx context.Context, prefix string, after kv.Revision) ([]kv.Entry, kv.Revision, error) {
+	era := s.Era()
 	if err := s.enter(ctx, KindWatch); err != nil {
 		return nil, 0, err
 	}
@@ -19,6 +21,9 @@
 	defer longest.Stop()
 	for {
 		result := s.snapshotAfter(prefix, after)
+		if result.era != era {
+			return nil, 0, kv.ErrUnavailable.New("service came back from a copy")
+		}
 		if result.err != nil || len(result.entries) > 0 {
 			return result.entries, result.revision, result.err
 		}
@@ -42,6 +47,7 @@
 	revision    kv.Revision
 	changed     <-chan struct{}
 	untilExpiry time.Duration
+	era         kv.Era
 	err         error
 }
 
@@ -49,17 +55,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.Down {
-		return snapshot{err: kv.ErrUnavailable.New("service is down")}
+		return snapshot{era: s.era, err: kv.ErrUnavailable.New("service is down")}
 	}
 	s.expire()
 	if after < s.compactedBefore {
-		return snapshot{err: kv.ErrCompacted.New("changes before revision %d are forgotten", s.compactedBefore)}
+		return snapshot{era: s.era, err: kv.ErrCompacted.New("changes before revision %d are forgotten", s.compactedBefore)}
+	}
+	if after > s.revision {
+		return snapshot{era: s.era, err: kv.ErrCompacted.New("revision %d is above %d, the service's own", after, s.revision)}
 	}
 	return snapshot{
 		entries:     s.changedAfter(prefix, after),
 		revision:    s.revision,
 		changed:     s.changed,
 		untilExpiry: s.untilExpiry(s.config.LongestWait),
+		era:         s.era,
 	}
 }
 
