Order what the store says by its era before its revision

Cause: a store that comes back from an older copy gives out revisions again. The view compared revisions of both histories: an entry with a lower revision was taken for older, changes were asked for after a revision that stands for something else now, and each such answer confirmed the view. The class of fault: numbers that are ordered within one history only are compared across two.

After a change of the era the whole list is read. Between eras the content decides, since a copy may have older entries: versions of the configuration, and the incarnation and sequence of nodes' entries. A source of an earlier era confirms nothing, nor does a store whose revision is lower than the known one of the same era; a node that hears of a later era reads the store at once.

--- a/kv/fake/copy.go
+++ b/kv/fake/copy.go
@@ -49,12 +49,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.config.Now()
-	s.revision, s.lastLease, s.compactedBefore = c.revision, c.lastLease, c.compactedBefore
-	s.entries = maps.Clone(c.entries)
+	s.era++
+	s.revision, s.lastLease, s.compactedBefore = s.inEra(c.revision), c.lastLease, s.inEra(c.compactedBefore)
+	s.entries = make(map[string]kv.Entry, len(c.entries))
+	for key, entry := range c.entries {
+		entry.Revision = s.inEra(entry.Revision)
+		s.entries[key] = entry
+	}
 	s.leases = make(map[kv.LeaseID]lease, len(c.leases))
 	for id, copied := range c.leases {
 		s.leases[id] = lease{ttl: copied.ttl, expires: now.Add(copied.left)}
 	}
-	s.era++
 	s.wakeWatches()
 }
+
+// inEra returns the revision of the service's era that has the number of another one.
+func (s *Service) inEra(revision kv.Revision) kv.Revision {
+	return kv.RevisionIn(s.era, revision.Number())
+}
--- a/kv/fake/fake.go
+++ b/kv/fake/fake.go
@@ -148,7 +148,7 @@
 		revision = entry.Revision
 	}
 	if revision != put.IfRevision {
-		return kv.ErrConflict.New("key %s has revision %d, not %d", put.Key, revision, put.IfRevision)
+		return kv.ErrConflict.New("key %s has revision %v, not %v", put.Key, revision, put.IfRevision)
 	}
 	return nil
 }
--- a/kv/fake/watch.go
+++ b/kv/fake/watch.go
@@ -59,10 +59,10 @@
 	}
 	s.expire()
 	if after < s.compactedBefore {
-		return snapshot{era: s.era, err: kv.ErrCompacted.New("changes before revision %d are forgotten", s.compactedBefore)}
+		return snapshot{era: s.era, err: kv.ErrCompacted.New("changes before revision %v are forgotten", s.compactedBefore)}
 	}
 	if after > s.revision {
-		return snapshot{era: s.era, err: kv.ErrCompacted.New("revision %d is above %d, the service's own", after, s.revision)}
+		return snapshot{era: s.era, err: kv.ErrCompacted.New("revision %v is above %v, the service's own", after, s.revision)}
 	}
 	return snapshot{
 		entries:     s.changedAfter(prefix, after),
--- a/kv/http.go
+++ b/kv/http.go
@@ -103,7 +103,7 @@
 	return err
 }
 
-// Era implements Client. The protocol names no era.
+// Era implements Client. The protocol names no era outside revisions.
 func (c *HTTPClient) Era() Era { return 0 }
 
 type exchangeResult struct {
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -39,17 +39,6 @@
 	ErrInvalid = errs.NewType("invalid")
 )
 
-// Era numbers the histories of the service: it rises each time that the service comes back
-// from an older copy of its data, after which it gives out revisions and lease IDs again. It
-// is zero for a service that never does.
-type Era uint32
-
-// Revision numbers the changes of the whole service; it only increases within an era.
-type Revision uint64
-
-// Absent as IfRevision requires that the key does not exist.
-const Absent Revision = 0
-
 // LeaseID identifies a lease; zero means none.
 type LeaseID uint64
 
@@ -81,13 +70,16 @@
 	Get(ctx context.Context, key string) (Entry, error)
 	// List returns the entries under a prefix and the revision they were read at.
 	List(ctx context.Context, prefix string) ([]Entry, Revision, error)
-	// Put writes one key if it has the required revision, or returns ErrConflict.
+	// Put writes one key if it has the required revision, or returns ErrConflict. A
+	// revision of an earlier era is never the required one.
 	Put(ctx context.Context, put PutRequest) (Entry, error)
 	// Watch returns the changes under a prefix after a revision. It waits for the
 	// first one until the context ends or the service's longest wait is over, after
-	// which it returns none. It may return ErrCompacted.
+	// which it returns none. It may return ErrCompacted, and does so after a revision of
+	// another era.
 	Watch(ctx context.Context, prefix string, after Revision) ([]Entry, Revision, error)
-	// Grant creates a lease that expires after ttl unless it is renewed.
+	// Grant creates a lease that expires after ttl unless it is renewed. In a later era its
+	// ID may be that of another lease.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
 	// Renew restarts the lease's ttl, or returns ErrNotFound if it has expired.
 	Renew(ctx context.Context, lease LeaseID) error
--- a/node/hosted_roster.go
+++ b/node/hosted_roster.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"time"
@@ -60,20 +61,23 @@
 // applyConfig activates a newer configuration.
 func (h *Hosted) applyConfig(view roster.View) {
 	entry, ok := view.Mirror.Entry(h.config.ConfigKey)
-	if !ok || entry.Revision <= h.configRevision {
+	if !ok || entry.Revision == h.configRevision {
 		return
 	}
 	h.configRevision = entry.Revision
 	decoded, err := h.config.DecodeConfig(entry.Value)
 	if err != nil {
-		h.logger.Error("bundle: configuration refused", zap.Uint64("revision", uint64(entry.Revision)), zap.String("error", err.Error()))
+		h.logger.Error("bundle: configuration refused", zap.Uint64("revision", entry.Revision.Number()), zap.Uint32("era", uint32(entry.Revision.Era())), zap.String("error", err.Error()))
 		return
 	}
 	before := h.index.Load()
-	if before != nil && decoded.Version <= before.Bundle.Version {
+	if before != nil && decoded.Version == before.Bundle.Version {
+		return // a new era of the service lists it again
+	}
+	if before != nil && decoded.Version < before.Bundle.Version {
 		h.logger.Warn("bundle: older version refused",
 			zap.Uint64("version", decoded.Version), zap.Uint64("inForce", before.Bundle.Version),
-			zap.Uint64("revision", uint64(entry.Revision)), zap.Stringer("from", view.Source))
+			zap.Uint64("revision", entry.Revision.Number()), zap.Uint32("era", uint32(entry.Revision.Era())), zap.Stringer("from", view.Source))
 		return
 	}
 	index := before.Next(decoded)
@@ -83,7 +87,7 @@
 		close(h.ready)
 	}
 	h.logger.Info("bundle: version in force", zap.Uint64("version", decoded.Version),
-		zap.Uint64("revision", uint64(entry.Revision)), zap.Stringer("from", view.Source),
+		zap.Uint64("revision", entry.Revision.Number()), zap.Uint32("era", uint32(entry.Revision.Era())), zap.Stringer("from", view.Source),
 		zap.Duration("unconfirmedFor", view.UnconfirmedFor),
 		zap.Int("routes", len(decoded.Routes)), zap.Int("workspaces", len(decoded.Workspaces)))
 }
@@ -194,6 +198,19 @@
 	return member
 }
 
+// compareConfigs compares two configuration entries by their versions.
+func (h *Hosted) compareConfigs(a, b kv.Entry) int {
+	first, err := h.config.DecodeConfig(a.Value)
+	if err != nil {
+		return 0
+	}
+	second, err := h.config.DecodeConfig(b.Value)
+	if err != nil {
+		return 0
+	}
+	return cmp.Compare(first.Version, second.Version)
+}
+
 // renewThroughPeer asks other nodes to renew this node's lease.
 func (h *Hosted) renewThroughPeer(ctx context.Context, lease kv.LeaseID) error {
 	err := error(kv.ErrUnavailable.New("no other node is known"))
--- a/node/hosted_wire.go
+++ b/node/hosted_wire.go
@@ -99,6 +99,7 @@
 		Prefix:           c.Prefix,
 		SuspectReadAfter: c.SuspectReadAfter,
 		MemberPrefix:     c.MemberPrefix,
+		CompareOthers:    h.compareConfigs,
 		OnChange:         h.apply,
 		OnMalformed:      h.logMalformed,
 		Logger:           h.logger,
--- a/roster/answer.go
+++ b/roster/answer.go
@@ -13,9 +13,11 @@
 const maxReplyDelay = 250 * time.Millisecond
 
 // isSuspect reports whether the view may be out of date: it has not been confirmed for
-// too long, or a read of the service has failed since it was last confirmed.
+// too long, a read of the service has failed since it was last confirmed, or the service is
+// in a later era.
 func (f *Follower) isSuspect() bool {
-	return f.untilSuspect(f.config.Now()) <= 0 || f.serviceFailedAt > f.confirmedAt
+	return f.untilSuspect(f.config.Now()) <= 0 || f.serviceFailedAt > f.confirmedAt ||
+		max(f.config.Client.Era(), f.queriedEra) > f.mirror.Revision().Era()
 }
 
 // untilSuspect returns how long it takes until the view is suspect if it is not confirmed
@@ -38,6 +40,7 @@
 	revision := kv.Revision(query.GetRevision())
 	wait := min(time.Duration(query.GetWaitMicros())*time.Microsecond, maxReplyDelay)
 	f.mu.Lock()
+	f.queriedEra = max(f.queriedEra, revision.Era())
 	changed, ready := f.changed, f.mirror.Revision() > revision || f.isSuspect()
 	wait = min(wait, f.untilSuspect(f.config.Now()))
 	f.mu.Unlock()
--- a/roster/follower.go
+++ b/roster/follower.go
@@ -32,6 +32,9 @@
 	SuspectReadAfter time.Duration
 	// MemberPrefix is the prefix of the keys of members.
 	MemberPrefix string
+	// CompareOthers compares entries that are not those of nodes, such as the configuration's;
+	// nil means that nothing tells their order.
+	CompareOthers CompareFunc
 	// OnChange is called with the view after each change. Calls do not overlap.
 	OnChange func(View)
 	// OnMalformed is called with the key of an entry that describes no valid node and the
@@ -83,10 +86,9 @@
 	// source is the source of the last successful read.
 	source   Source
 	lastRead lastRead
-	// era is the latest era of the service that was logged.
-	era kv.Era
-	// answerWasBehind is set while answers of the service have lower revisions than the view.
-	answerWasBehind bool
+	// queriedEra is the latest era that another node has named in a query since the last read
+	// of the service.
+	queriedEra kv.Era
 	// changed is closed at the next change.
 	changed chan struct{}
 	// malformed holds the keys that OnMalformed was called with.
@@ -108,7 +110,7 @@
 	}
 	return &Follower{
 		config:    config,
-		mirror:    NewMirror(config.MemberPrefix),
+		mirror:    NewMirror(config.MemberPrefix, config.CompareOthers),
 		sources:   NewSourceSelector(config.VM, config.Zone),
 		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		readEnded: make(chan struct{}, 1),
@@ -139,10 +141,14 @@
 	return f.mirror.Entry(key)
 }
 
-// apply applies a delta that a source knows and that was up to date at confirmedAt.
+// apply applies a delta that a source knows and that was up to date at confirmedAt. One that
+// the view does not accept confirms nothing.
 func (f *Follower) apply(source Source, delta Delta, confirmedAt time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !f.mirror.Accepts(delta) {
+		return
+	}
 	f.lastRead = lastRead{source: source}
 	if f.mirror.Revision() > 0 {
 		f.lastRead.unconfirmedFor = f.config.Now() - f.confirmedAt
--- a/roster/follower_test.go
+++ b/roster/follower_test.go
@@ -172,7 +172,8 @@
 		t.Run(name, func(t *testing.T) {
 			var memberCounts []int
 			f := NewFollower(FollowerConfig{
-				VM: "a", Zone: "z", MemberPrefix: "online/",
+				Client: fake.New(fake.Config{}),
+				VM:     "a", Zone: "z", MemberPrefix: "online/",
 				OnChange: func(view View) { memberCounts = append(memberCounts, len(view.Members)) },
 				Logger:   zap.NewNop(),
 			})
--- a/roster/member.go
+++ b/roster/member.go
@@ -21,6 +21,7 @@
 package roster
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/netip"
 	"time"
@@ -44,8 +45,10 @@
 	Zone string `json:"zone"`
 	// Address is the address at which other nodes reach the node.
 	Address netip.AddrPort `json:"address"`
-	// Incarnation is new at each start of the process.
+	// Incarnation is new at each start of the process, and higher than the one before.
 	Incarnation string `json:"incarnation"`
+	// Sequence rises with each change of the entry by one process.
+	Sequence uint64 `json:"sequence,omitempty"`
 	// Leaving is set when the node accepts no more calls.
 	Leaving bool `json:"leaving,omitempty"`
 	// Backend is nil while the VM has no backend server.
@@ -92,6 +95,11 @@
 	return member, member.check()
 }
 
+// compareMembers compares two entries of a node by the time at which they were written.
+func compareMembers(a, b Member) int {
+	return cmp.Or(cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.Sequence, b.Sequence))
+}
+
 // check returns ErrInvalidMember if a field is out of range.
 func (m *Member) check() error {
 	switch {
--- a/roster/mirror.go
+++ b/roster/mirror.go
@@ -27,15 +27,26 @@
 	Entries []kv.Entry
 }
 
+// CompareFunc compares two entries of a key as their writer ordered them: the result is
+// negative if the writer wrote a before b, positive if after it, and zero if both are the
+// same or nothing tells.
+type CompareFunc func(a, b kv.Entry) int
+
 // Mirror is a local copy of the entries in the key-value service. It is not safe
 // for concurrent use.
+//
+// Within an era of the service, an entry with a higher revision replaces one with a lower.
+// Revisions of two eras tell nothing of each other: the service may list an older entry of a
+// key than an earlier era had. Between eras the entry that its writer wrote later stays.
 type Mirror struct {
 	// memberPrefix begins the keys of the nodes' entries.
 	memberPrefix string
-	revision     kv.Revision
-	entries      map[string]kv.Entry
+	// compareOthers compares entries that are not those of nodes.
+	compareOthers CompareFunc
+	revision      kv.Revision
+	entries       map[string]kv.Entry
 	// tombstones holds the latest removals, oldest first.
-	tombstones []kv.Entry
+	tombstones []tombstone
 	// tombstoneFloor is the revision up to which tombstones may have been dropped.
 	tombstoneFloor kv.Revision
 	// decoded caches the members that entries describe, by key.
@@ -44,6 +55,13 @@
 	lapsed map[string]lapsedMember
 }
 
+// tombstone records the removal of an entry.
+type tombstone struct {
+	removed kv.Entry
+	// revision is that of the removal, or of the list that lacked the entry.
+	revision kv.Revision
+}
+
 type lapsedMember struct {
 	entry kv.Entry
 	until time.Duration
@@ -57,13 +75,15 @@
 }
 
 // NewMirror returns an empty mirror. The keys of the nodes' entries begin with
-// memberPrefix.
-func NewMirror(memberPrefix string) *Mirror {
+// memberPrefix. Other entries are compared by compareOthers; nil means that nothing tells
+// their order.
+func NewMirror(memberPrefix string, compareOthers CompareFunc) *Mirror {
 	return &Mirror{
-		memberPrefix: memberPrefix,
-		entries:      make(map[string]kv.Entry),
-		decoded:      make(map[string]decodedMember),
-		lapsed:       make(map[string]lapsedMember),
+		memberPrefix:  memberPrefix,
+		compareOthers: compareOthers,
+		entries:       make(map[string]kv.Entry),
+		decoded:       make(map[string]decodedMember),
+		lapsed:        make(map[string]lapsedMember),
 	}
 }
 
@@ -77,9 +97,19 @@
 	return entry, ok
 }
 
-// Apply applies a delta and reports whether anything has changed. An entry is
-// never replaced by an older one, whatever the order of deltas.
+// Accepts reports whether a delta adds to what the mirror knows. One of an earlier era does
+// not, nor does a part of a later one.
+func (m *Mirror) Accepts(delta Delta) bool {
+	era, known := delta.Revision.Era(), m.revision.Era()
+	return era == known || era > known && delta.Whole
+}
+
+// Apply applies a delta that the mirror accepts and reports whether anything has changed.
+// An entry is never replaced by an older one, whatever the order of deltas.
 func (m *Mirror) Apply(now time.Duration, delta Delta) bool {
+	if !m.Accepts(delta) {
+		return false
+	}
 	changed := false
 	for _, entry := range delta.Entries {
 		changed = m.applyEntry(now, entry) || changed
@@ -92,8 +122,9 @@
 }
 
 func (m *Mirror) applyEntry(now time.Duration, entry kv.Entry) bool {
+	entry = m.trimmed(entry)
 	known, ok := m.entries[entry.Key]
-	if ok && known.Revision >= entry.Revision {
+	if ok && !m.supersedes(entry, known) {
 		return false
 	}
 	if entry.Deleted {
@@ -102,21 +133,48 @@
 		}
 		return ok
 	}
-	if m.isRemovedAfter(entry) {
+	if !ok && m.isRemoved(entry) {
 		return false
 	}
-	m.entries[entry.Key] = m.trimmed(entry)
+	m.entries[entry.Key] = entry
 	delete(m.lapsed, entry.Key)
 	return true
 }
 
+// supersedes reports whether an entry that was read replaces the known one of its key.
+func (m *Mirror) supersedes(entry, known kv.Entry) bool {
+	if entry.Revision.Era() != known.Revision.Era() && !entry.Deleted {
+		if order := m.compare(entry, known); order != 0 {
+			return order > 0
+		}
+	}
+	return entry.Revision > known.Revision
+}
+
+// compare is a CompareFunc for all entries.
+func (m *Mirror) compare(a, b kv.Entry) int {
+	switch {
+	case m.isMember(a.Key):
+	case m.compareOthers == nil:
+		return 0
+	default:
+		return m.compareOthers(a, b)
+	}
+	first, second := m.decode(a), m.decode(b)
+	if first.err != nil || second.err != nil {
+		return 0
+	}
+	return compareMembers(first.member, second.member)
+}
+
 // olderEntries returns those of the entries that differ from the known ones of their keys
-// and are not applied, because they are older.
+// and do not replace them.
 func (m *Mirror) olderEntries(entries []kv.Entry) []kv.Entry {
 	var older []kv.Entry
 	for _, entry := range entries {
+		entry = m.trimmed(entry)
 		known, ok := m.entries[entry.Key]
-		if ok && known.Revision >= entry.Revision && !bytes.Equal(known.Value, m.trimmed(entry).Value) {
+		if ok && !m.supersedes(entry, known) && !bytes.Equal(known.Value, entry.Value) {
 			older = append(older, entry)
 		}
 	}
@@ -134,16 +192,24 @@
 	return entry
 }
 
-// isRemovedAfter reports whether the key of an entry was removed after the entry was
-// written.
-func (m *Mirror) isRemovedAfter(entry kv.Entry) bool {
-	return slices.ContainsFunc(m.tombstones, func(r kv.Entry) bool {
-		return r.Key == entry.Key && r.Revision > entry.Revision
+// isRemoved reports whether the key of an entry that is not known was removed after the
+// entry was written. An entry of a later era than the removal may be an older one that was
+// restored.
+func (m *Mirror) isRemoved(entry kv.Entry) bool {
+	return slices.ContainsFunc(m.tombstones, func(t tombstone) bool {
+		if t.removed.Key != entry.Key {
+			return false
+		}
+		if t.revision.Era() < entry.Revision.Era() {
+			return m.isMember(entry.Key) && m.compare(entry, t.removed) <= 0
+		}
+		return t.revision > entry.Revision
 	})
 }
 
 // removeUnlisted removes the entries that a whole delta does not list, except those
-// that are newer than the delta, and reports whether there were any.
+// that are newer than the delta, and reports whether there were any. An entry other than a
+// node's stays if the service has lost it: nothing but its writer removes it.
 func (m *Mirror) removeUnlisted(now time.Duration, delta Delta) bool {
 	listed := make(map[string]bool, len(delta.Entries))
 	for _, entry := range delta.Entries {
@@ -151,7 +217,8 @@
 	}
 	changed := false
 	for key, entry := range m.entries {
-		if !listed[key] && entry.Revision <= delta.Revision {
+		isLost := entry.Revision.Era() < delta.Revision.Era() && !m.isMember(key)
+		if !listed[key] && entry.Revision <= delta.Revision && !isLost {
 			m.remove(now, entry, delta.Revision)
 			changed = true
 		}
@@ -162,26 +229,28 @@
 func (m *Mirror) remove(now time.Duration, entry kv.Entry, revision kv.Revision) {
 	delete(m.entries, entry.Key)
 	m.lapsed[entry.Key] = lapsedMember{entry: entry, until: now + lapsedMemberTTL}
-	m.tombstones = append(m.tombstones, kv.Entry{Key: entry.Key, Revision: revision, Deleted: true})
+	m.tombstones = append(m.tombstones, tombstone{removed: entry, revision: revision})
 	if len(m.tombstones) > maxTombstones {
-		m.tombstoneFloor = m.tombstones[0].Revision
+		m.tombstoneFloor = m.tombstones[0].revision
 		m.tombstones = slices.Delete(m.tombstones, 0, 1)
 	}
 }
 
-// Since returns the changes after a revision, or all entries if the removals since
-// then are no longer known.
+// Since returns the changes after a revision, or all entries if the revision is of an
+// earlier era or the removals since then are no longer known. Entries of earlier eras are
+// always among the changes: a list of the present era may have older ones.
 func (m *Mirror) Since(revision kv.Revision) Delta {
-	delta := Delta{Revision: m.revision, Whole: revision == 0 || revision < m.tombstoneFloor}
+	isEarlier := revision.Era() < m.revision.Era()
+	delta := Delta{Revision: m.revision, Whole: revision == 0 || isEarlier || revision < m.tombstoneFloor}
 	for _, entry := range m.entries {
-		if delta.Whole || entry.Revision > revision {
+		if delta.Whole || entry.Revision > revision || entry.Revision.Era() < m.revision.Era() {
 			delta.Entries = append(delta.Entries, entry)
 		}
 	}
 	if !delta.Whole {
-		for _, entry := range m.tombstones {
-			if entry.Revision > revision {
-				delta.Entries = append(delta.Entries, entry)
+		for _, t := range m.tombstones {
+			if t.revision > revision {
+				delta.Entries = append(delta.Entries, kv.Entry{Key: t.removed.Key, Revision: t.revision, Deleted: true})
 			}
 		}
 	}
@@ -215,7 +284,7 @@
 		if !m.isMember(entry.Key) {
 			return
 		}
-		decoded := m.decode(entry)
+		decoded := m.memberOf(entry)
 		if decoded.err != nil {
 			malformed = append(malformed, malformedEntry{entry.Key, decoded.err})
 			return
@@ -232,13 +301,17 @@
 	return members, malformed
 }
 
-// decode returns the member that an entry describes. The result is cached, because
-// lists of members are built far more often than entries are written.
-func (m *Mirror) decode(entry kv.Entry) decodedMember {
+// memberOf returns the member that an entry of the mirror describes. The result is cached,
+// because lists of members are built far more often than entries are written.
+func (m *Mirror) memberOf(entry kv.Entry) decodedMember {
 	if known, ok := m.decoded[entry.Key]; ok && known.revision == entry.Revision {
 		return known
 	}
-	member, err := decodeMember(m.memberPrefix, entry)
-	m.decoded[entry.Key] = decodedMember{revision: entry.Revision, member: member, err: err}
+	m.decoded[entry.Key] = m.decode(entry)
 	return m.decoded[entry.Key]
 }
+
+func (m *Mirror) decode(entry kv.Entry) decodedMember {
+	member, err := decodeMember(m.memberPrefix, entry)
+	return decodedMember{revision: entry.Revision, member: member, err: err}
+}
--- a/roster/publisher.go
+++ b/roster/publisher.go
@@ -119,7 +119,9 @@
 		return "", 0
 	}
 	// The encoding of a Member cannot fail.
-	data, _ := json.Marshal(p.member)
+	member := p.member
+	member.Sequence = p.changes
+	data, _ := json.Marshal(member)
 	return string(data), p.changes
 }
 
--- a/roster/reading.go
+++ b/roster/reading.go
@@ -134,20 +134,27 @@
 	if !source.IsService() {
 		return f.query(ctx, source.Node, revision)
 	}
+	delta, err := f.readService(ctx, revision)
+	if err != nil {
+		return Delta{}, 0, err
+	}
+	if delta.Revision < revision {
+		return Delta{}, 0, ErrStale.New("the service is at revision %v, before %v", delta.Revision, revision)
+	}
+	return delta, 0, nil
+}
+
+// readService returns the changes after a revision, or all entries if the service does not
+// know the changes.
+func (f *Follower) readService(ctx context.Context, revision kv.Revision) (Delta, error) {
 	if revision > 0 {
 		entries, at, err := f.config.Client.Watch(ctx, f.config.Prefix, revision)
-		if err == nil {
-			return Delta{Revision: at, Entries: entries}, 0, nil
-		}
 		if !errorx.IsOfType(err, kv.ErrCompacted) {
-			return Delta{}, 0, err
+			return Delta{Revision: at, Entries: entries}, err
 		}
 	}
 	entries, at, err := f.config.Client.List(ctx, f.config.Prefix)
-	if err != nil {
-		return Delta{}, 0, err
-	}
-	return Delta{Whole: true, Revision: at, Entries: entries}, 0, nil
+	return Delta{Whole: true, Revision: at, Entries: entries}, err
 }
 
 // query reads from another node. ErrStale is returned together with the changes that
@@ -162,6 +169,9 @@
 	}
 	age := time.Duration(reply.GetAgeMicros()) * time.Microsecond
 	delta := deltaFromReply(&reply)
+	if delta.Revision.Era() < revision.Era() {
+		return Delta{}, 0, ErrStale.New("the view of %s is of era %d, before %d", address, delta.Revision.Era(), revision.Era())
+	}
 	if age > maxSourceAge || reply.GetInDoubt() || reply.GetRevision() == 0 {
 		return delta, age, ErrStale.New("the view of %s is %v old, in doubt: %t", address, age, reply.GetInDoubt())
 	}
@@ -175,36 +185,33 @@
 	f.mu.Lock()
 	f.sources.Succeeded(source)
 	if f.failing || f.mirror.Revision() == 0 || source.IsService() != f.source.IsService() {
-		f.config.Logger.Info("roster: reading", zap.Stringer("from", source), zap.Bool("wasLost", f.failing), zap.Uint64("revision", uint64(delta.Revision)))
+		f.config.Logger.Info("roster: reading", zap.Stringer("from", source), zap.Bool("wasLost", f.failing), zap.Uint64("revision", delta.Revision.Number()), zap.Uint32("era", uint32(delta.Revision.Era())))
 	}
 	f.logContradictions(read, delta)
 	f.failing, f.source = false, source
+	if source.IsService() {
+		f.queriedEra = delta.Revision.Era()
+	}
 	f.mu.Unlock()
 	f.apply(source, delta, confirmedAt)
 }
 
-// logContradictions logs what an answer of the service says that contradicts what was
-// known when its read began: another era, a lower revision, or an entry that is older than
-// the known one. The caller must hold the lock.
+// logContradictions logs what a source says that contradicts what is known: that the service
+// is in a new era, and entries of the service that are older than the known ones. The caller
+// must hold the lock.
 func (f *Follower) logContradictions(read *sourceRead, delta Delta) {
+	known := f.mirror.Revision()
+	if known > 0 && delta.Revision.Era() > known.Era() {
+		f.config.Logger.Warn("roster: new era of the service", zap.Stringer("from", read.source),
+			zap.Stringer("revision", delta.Revision), zap.Stringer("known", known))
+	}
 	if !read.source.IsService() {
 		return
 	}
-	if era := f.config.Client.Era(); era != f.era {
-		f.config.Logger.Warn("roster: new era of the service", zap.Uint32("era", uint32(era)), zap.Uint32("before", uint32(f.era)),
-			zap.Uint64("revision", uint64(delta.Revision)), zap.Uint64("known", uint64(read.revision)))
-		f.era = era
-	}
-	isBehind := delta.Revision < read.revision
-	if isBehind && !f.answerWasBehind {
-		f.config.Logger.Warn("roster: answer is older than the view", zap.Stringer("from", read.source),
-			zap.Uint64("revision", uint64(delta.Revision)), zap.Uint64("known", uint64(read.revision)))
-	}
-	f.answerWasBehind = isBehind
 	if ignored := f.mirror.olderEntries(delta.Entries); len(ignored) > 0 {
 		known, _ := f.mirror.Entry(ignored[0].Key)
 		f.config.Logger.Warn("roster: entries not taken", zap.Int("count", len(ignored)), zap.String("first", ignored[0].Key),
-			zap.Uint64("revision", uint64(ignored[0].Revision)), zap.Uint64("known", uint64(known.Revision)))
+			zap.Stringer("revision", ignored[0].Revision), zap.Stringer("known", known.Revision))
 	}
 }
 
