Publish a node's entry again when the store enters a new era

What callers saw: nothing was reported of this. A node whose entry the store's copy lacked, or had in an older form, went on believing that it was listed: callers' requests went past its backend server, or to one that had said that it leaves.

The last known revision, the confirmed value and the lease's ID were taken to hold after the store came back from a copy; an ID may be given out again, so that a renewal kept another node's lease.

Change: the publisher remembers the era of its lease and of its entry. In a new era it reads its own entry after a random pause of at most 0.5 s, keeps the lease only if that entry shows it as its own, and writes the member again with a higher sequence. A write that is answered in another era than it was made for confirms nothing. A renewal through another node names the era of the lease.

--- a/node/hosted_roster.go
+++ b/node/hosted_roster.go
@@ -211,14 +211,15 @@
 	return cmp.Compare(first.Version, second.Version)
 }
 
-// renewThroughPeer asks other nodes to renew this node's lease.
-func (h *Hosted) renewThroughPeer(ctx context.Context, lease kv.LeaseID) error {
+// renewThroughPeer asks other nodes to renew this node's lease of an era.
+func (h *Hosted) renewThroughPeer(ctx context.Context, era kv.Era, lease kv.LeaseID) error {
 	err := error(kv.ErrUnavailable.New("no other node is known"))
 	for i, address := range shuffledPeers(h.follower.Members(), h.config.VM, h.config.Zone) {
 		if i == maxRenewPeers {
 			break
 		}
-		if err = h.requestRenewal(ctx, lease, address); err == nil || errorx.IsOfType(err, kv.ErrNotFound) {
+		query := &peerpb.RenewQuery{Lease: uint64(lease), Era: uint32(era)}
+		if err = h.requestRenewal(ctx, query, address); err == nil || errorx.IsOfType(err, kv.ErrNotFound) {
 			return err
 		}
 	}
@@ -231,7 +232,7 @@
 	if err := peer.Decode(payload, &query); err != nil {
 		return nil, err
 	}
-	err := h.config.Client.Renew(ctx, kv.LeaseID(query.GetLease()))
+	err := roster.RenewInEra(ctx, h.config.Client, kv.Era(query.GetEra()), kv.LeaseID(query.GetLease()))
 	outcome := "renewed"
 	if err != nil {
 		outcome = err.Error()
@@ -240,16 +241,16 @@
 	return &peerpb.RenewReply{Renewed: err == nil, Gone: errorx.IsOfType(err, kv.ErrNotFound)}, nil
 }
 
-func (h *Hosted) requestRenewal(ctx context.Context, lease kv.LeaseID, address netip.AddrPort) error {
+func (h *Hosted) requestRenewal(ctx context.Context, query *peerpb.RenewQuery, address netip.AddrPort) error {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	var reply peerpb.RenewReply
-	if err := h.query(ctx, address, peer.KindRenew, &peerpb.RenewQuery{Lease: uint64(lease)}, &reply); err != nil {
+	if err := h.query(ctx, address, peer.KindRenew, query, &reply); err != nil {
 		return err
 	}
 	switch {
 	case reply.GetGone():
-		return kv.ErrNotFound.New("lease %d", lease)
+		return kv.ErrNotFound.New("lease %d of era %d", query.GetLease(), query.GetEra())
 	case !reply.GetRenewed():
 		return kv.ErrUnavailable.New("%s cannot reach the key-value service either", address)
 	}
--- a/roster/publisher.go
+++ b/roster/publisher.go
@@ -22,6 +22,9 @@
 	renewalsPerTTL = 5
 	// publishRetryPause is the mean pause after a failed write.
 	publishRetryPause = 150 * time.Millisecond
+	// maxEraPause bounds the random pause before a node writes its entry in a new era of the
+	// service, since all nodes do so.
+	maxEraPause = 500 * time.Millisecond
 )
 
 // PublisherConfig configures a Publisher.
@@ -33,9 +36,9 @@
 	Lease time.Duration
 	// CurrentEntry returns this node's entry in the node's current view.
 	CurrentEntry func() (kv.Entry, bool)
-	// Renew asks another node to renew a lease if the service does not answer this
+	// Renew asks another node to renew a lease of an era if the service does not answer this
 	// node. It returns kv.ErrNotFound if the lease does not exist. It may be nil.
-	Renew  func(ctx context.Context, lease kv.LeaseID) error
+	Renew  func(ctx context.Context, era kv.Era, lease kv.LeaseID) error
 	Logger *zap.Logger
 }
 
@@ -43,6 +46,8 @@
 type Publisher struct {
 	config PublisherConfig
 	lease  kv.LeaseID
+	// era is the one of the service in which the lease was granted and the entry written.
+	era kv.Era
 	// revision is the last known revision of the entry.
 	revision atomic.Uint64
 	// entryMissing is set when a newer view lacks the entry.
@@ -55,6 +60,8 @@
 	// changes counts the calls of Set, and confirmedChanges those of them whose member, or
 	// a later one, the service has confirmed.
 	changes, confirmedChanges uint64
+	// rewrites counts the eras in which the member is written again.
+	rewrites uint64
 	// confirmed is closed and replaced when confirmedChanges grows.
 	confirmed chan struct{}
 	wake      chan struct{}
@@ -120,7 +127,7 @@
 	}
 	// The encoding of a Member cannot fail.
 	member := p.member
-	member.Sequence = p.changes
+	member.Sequence = p.changes + p.rewrites
 	data, _ := json.Marshal(member)
 	return string(data), p.changes
 }
@@ -147,6 +154,7 @@
 // publish retries until the service holds the current member.
 func (p *Publisher) publish(ctx context.Context) {
 	for failures := 0; ctx.Err() == nil; {
+		p.enterEra(ctx)
 		if p.entryMissing.Swap(false) {
 			p.lease = 0
 			p.revision.Store(uint64(kv.Absent))
@@ -160,6 +168,9 @@
 			return
 		}
 		err := p.write(ctx, value)
+		if err == nil && p.isNewEra() {
+			continue
+		}
 		if err == nil {
 			p.confirmedValue = value
 			p.setConfirmed(change)
@@ -176,6 +187,44 @@
 	}
 }
 
+// isNewEra reports whether the service has entered another era since the lease was granted.
+func (p *Publisher) isNewEra() bool { return p.config.Client.Era() != p.era }
+
+// enterEra prepares to write the member again if the service has entered a new era, in which
+// its entry may be missing or older, and the lease may be another node's.
+func (p *Publisher) enterEra(ctx context.Context) {
+	if !p.isNewEra() {
+		return
+	}
+	if p.lease != 0 {
+		clock.Sleep(ctx, rand.N(maxEraPause))
+	}
+	p.era = p.config.Client.Era()
+	p.mu.Lock()
+	p.rewrites++
+	p.mu.Unlock()
+	if p.lease == 0 {
+		return
+	}
+	entry, err := p.config.Client.Get(ctx, p.config.Key)
+	if err != nil || entry.Lease != p.lease || !p.isOwn(entry) {
+		p.lease = 0
+	}
+	p.revision.Store(uint64(entry.Revision))
+	p.config.Logger.Info("roster: publishing again", zap.Uint32("era", uint32(p.era)), zap.Stringer("found", entry.Revision), zap.Bool("leaseStands", p.lease != 0))
+}
+
+// isOwn reports whether this process wrote an entry.
+func (p *Publisher) isOwn(entry kv.Entry) bool {
+	var member Member
+	if err := json.Unmarshal(entry.Value, &member); err != nil {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return member.Incarnation == p.member.Incarnation
+}
+
 // write replaces the entry at its last known revision, so that a write that takes
 // effect late, even one of an earlier process, cannot replace a newer entry.
 func (p *Publisher) write(ctx context.Context, value string) error {
@@ -184,6 +233,9 @@
 		if err != nil {
 			return err
 		}
+		if p.isNewEra() {
+			return kv.ErrUnavailable.New("era %d began", p.config.Client.Era())
+		}
 		p.lease = lease
 	}
 	revision := kv.Revision(p.revision.Load())
@@ -228,9 +280,17 @@
 	if p.lease == 0 {
 		return
 	}
+	if p.isNewEra() {
+		p.wakeUp()
+		return
+	}
 	err := p.config.Client.Renew(ctx, p.lease)
 	if err != nil && !errorx.IsOfType(err, kv.ErrNotFound) && p.config.Renew != nil {
-		err = p.config.Renew(ctx, p.lease)
+		err = p.config.Renew(ctx, p.era, p.lease)
+	}
+	if p.isNewEra() {
+		p.wakeUp()
+		return
 	}
 	if errorx.IsOfType(err, kv.ErrNotFound) {
 		p.config.Logger.Warn("roster: lease lapsed", zap.Uint64("lease", uint64(p.lease)))
@@ -240,9 +300,12 @@
 }
 
 // HandleView publishes the entry again if a view is newer than the node's last write and
-// lacks the entry.
+// lacks the entry, or is of a later era.
 func (p *Publisher) HandleView(view View) {
 	written := kv.Revision(p.revision.Load())
+	if view.Mirror.Revision().Era() > written.Era() {
+		p.wakeUp()
+	}
 	if _, ok := view.Mirror.Entry(p.config.Key); ok || written == kv.Absent || view.Mirror.Revision() <= written {
 		return
 	}
--- /dev/null
+++ b/roster/publisher_era_test.go
@@ -0,0 +1,141 @@
+package roster
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"auburngap/kv"
+	kvfake "auburngap/kv/fake"
+)
+
+const (
+	ownKey   = "online/vm-1"
+	otherKey = "online/vm-2"
+	// eraLease is the time to live of the leases of TestPublisherEntersEra.
+	eraLease = time.Second
+	// maxRewriteTime is the longest time from a new era until the member is written again.
+	maxRewriteTime = time.Second
+)
+
+// TestPublisherEntersEra guards against a node that believes itself listed after the service
+// came back from a copy, while its entry is gone or an older one, or its lease is another
+// node's.
+func TestPublisherEntersEra(t *testing.T) {
+	cases := []struct {
+		name string
+		// published is what is written before the copy, besides what follows it.
+		published bool
+		// meanwhile is done by others in the new era, before the publisher sees it.
+		meanwhile func(t *testing.T, service *kvfake.Service)
+	}{
+		{name: "the copy lacks the entry"},
+		{name: "the copy has an older entry", published: true},
+		{
+			name: "the lease is another node's",
+			meanwhile: func(t *testing.T, service *kvfake.Service) {
+				lease, err := service.Grant(t.Context(), eraLease)
+				assert.NilError(t, err)
+				_, err = service.Put(t.Context(), kv.PutRequest{Key: otherKey, Lease: lease})
+				assert.NilError(t, err)
+			},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			service := kvfake.New(kvfake.Config{})
+			publisher := startPublisher(t, service)
+			member := Member{VM: "vm-1", Address: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: "1"}
+			publish := func() {
+				publisher.Set(member)
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				assert.Assert(t, publisher.WaitConfirmed(ctx))
+			}
+			if c.published {
+				publish()
+			}
+			saved := service.Copy()
+			member.Leaving = true
+			publish()
+			before := publishedMember(t, service)
+
+			service.Restore(saved)
+			if c.meanwhile != nil {
+				c.meanwhile(t, service)
+			}
+			restoredAt := time.Now()
+			for !isLeaving(service) {
+				assert.Assert(t, time.Since(restoredAt) < maxRewriteTime, "not written again")
+				time.Sleep(5 * time.Millisecond)
+			}
+			assert.Assert(t, publishedMember(t, service).Sequence > before.Sequence)
+			// Each keeps its own lease: the other node, which doesn't renew its own, goes.
+			time.Sleep(2 * eraLease)
+			assert.Assert(t, isLeaving(service), "its lease has ended")
+			_, err := service.Get(t.Context(), otherKey)
+			assert.ErrorContains(t, err, "no key", "another node's lease is renewed")
+		})
+	}
+}
+
+// TestRenewInEra guards against a lease of another node being renewed for one of an earlier
+// era that had its ID.
+func TestRenewInEra(t *testing.T) {
+	service := kvfake.New(kvfake.Config{})
+	saved := service.Copy()
+	lease, err := service.Grant(t.Context(), time.Minute)
+	assert.NilError(t, err)
+	renew := func(era kv.Era) error { return RenewInEra(t.Context(), service, era, lease) }
+	assert.NilError(t, renew(0))
+	assert.Assert(t, errorx.IsOfType(renew(1), kv.ErrUnavailable), "a later era is known to the node that asks")
+
+	service.Restore(saved)
+	again, err := service.Grant(t.Context(), time.Minute)
+	assert.NilError(t, err)
+	assert.Equal(t, again, lease)
+	renewals := service.Counts().Renew
+	assert.Assert(t, errorx.IsOfType(renew(0), kv.ErrNotFound))
+	assert.Equal(t, service.Counts().Renew, renewals, "the other lease was renewed")
+	assert.NilError(t, renew(1))
+}
+
+// startPublisher starts a publisher of ownKey with short leases.
+func startPublisher(t *testing.T, service *kvfake.Service) *Publisher {
+	publisher := NewPublisher(PublisherConfig{
+		Client:       service,
+		Key:          ownKey,
+		Lease:        eraLease,
+		CurrentEntry: func() (kv.Entry, bool) { return kv.Entry{}, false },
+		Logger:       zap.NewNop(),
+	})
+	done := make(chan error, 1)
+	ctx, stop := context.WithCancel(t.Context())
+	go func() { done <- publisher.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		assert.NilError(t, <-done)
+	})
+	return publisher
+}
+
+func publishedMember(t *testing.T, service *kvfake.Service) Member {
+	t.Helper()
+	entry, err := service.Get(t.Context(), ownKey)
+	assert.NilError(t, err)
+	var member Member
+	assert.NilError(t, json.Unmarshal(entry.Value, &member))
+	return member
+}
+
+func isLeaving(service *kvfake.Service) bool {
+	entry, err := service.Get(context.Background(), ownKey)
+	var member Member
+	return err == nil && json.Unmarshal(entry.Value, &member) == nil && member.Leaving
+}
