Write a node's entry again as soon as its view names a new era

Cause: the publisher learned of a new era from answers of the store to its own node only. A node that reads its view from another one hears the store at its next renewal, up to 2 s later; an older entry of it in the store's copy stood until then.

Change: the era of the view counts, too. A read of the own entry that fails no longer costs the lease: the write is tried again. publish is split into its tries and their pauses.

--- a/roster/publisher.go
+++ b/roster/publisher.go
@@ -50,6 +50,8 @@
 	era kv.Era
 	// revision is the last known revision of the entry.
 	revision atomic.Uint64
+	// viewEra is the kv.Era of the node's view.
+	viewEra atomic.Uint32
 	// entryMissing is set when a newer view lacks the entry.
 	entryMissing atomic.Bool
 	// confirmedValue is the last value that the service confirmed.
@@ -154,26 +156,11 @@
 // publish retries until the service holds the current member.
 func (p *Publisher) publish(ctx context.Context) {
 	for failures := 0; ctx.Err() == nil; {
-		p.enterEra(ctx)
-		if p.entryMissing.Swap(false) {
-			p.lease = 0
-			p.revision.Store(uint64(kv.Absent))
-		}
-		value, change := p.value()
-		if change == 0 {
+		isPublished, err := p.publishOnce(ctx)
+		if isPublished {
 			return
 		}
-		if value == p.confirmedValue && p.lease != 0 {
-			p.setConfirmed(change)
-			return
-		}
-		err := p.write(ctx, value)
-		if err == nil && p.isNewEra() {
-			continue
-		}
 		if err == nil {
-			p.confirmedValue = value
-			p.setConfirmed(change)
 			continue
 		}
 		failures++
@@ -187,31 +174,68 @@
 	}
 }
 
-// isNewEra reports whether the service has entered another era since the lease was granted.
-func (p *Publisher) isNewEra() bool { return p.config.Client.Era() != p.era }
+// publishOnce writes the current member unless the service is known to hold it, and reports
+// whether it is known to.
+func (p *Publisher) publishOnce(ctx context.Context) (bool, error) {
+	if err := p.enterEra(ctx); err != nil {
+		return false, err
+	}
+	if p.entryMissing.Swap(false) {
+		p.lease = 0
+		p.revision.Store(uint64(kv.Absent))
+	}
+	value, change := p.value()
+	if change == 0 {
+		return true, nil
+	}
+	if value == p.confirmedValue && p.lease != 0 {
+		p.setConfirmed(change)
+		return true, nil
+	}
+	if err := p.write(ctx, value); err != nil {
+		return false, err
+	}
+	if p.latestEra() == p.era {
+		p.confirmedValue = value
+		p.setConfirmed(change)
+	}
+	return false, nil
+}
+
+// latestEra returns the latest era of the service that is known, from its answers or from
+// the node's view.
+func (p *Publisher) latestEra() kv.Era {
+	return max(p.config.Client.Era(), kv.Era(p.viewEra.Load()))
+}
 
 // enterEra prepares to write the member again if the service has entered a new era, in which
 // its entry may be missing or older, and the lease may be another node's.
-func (p *Publisher) enterEra(ctx context.Context) {
-	if !p.isNewEra() {
-		return
+func (p *Publisher) enterEra(ctx context.Context) error {
+	era := p.latestEra()
+	if era == p.era {
+		return nil
 	}
 	if p.lease != 0 {
 		clock.Sleep(ctx, rand.N(maxEraPause))
+		entry, err := p.config.Client.Get(ctx, p.config.Key)
+		if err != nil && !errorx.IsOfType(err, kv.ErrNotFound) {
+			return err
+		}
+		if p.config.Client.Era() != era {
+			return kv.ErrUnavailable.New("the service is in era %d, not %d", p.config.Client.Era(), era)
+		}
+		p.revision.Store(uint64(entry.Revision))
+		leaseStands := entry.Lease == p.lease && p.isOwn(entry)
+		if !leaseStands {
+			p.lease = 0
+		}
+		p.config.Logger.Info("roster: publishing again", zap.Uint32("era", uint32(era)), zap.Stringer("found", entry.Revision), zap.Bool("leaseStands", leaseStands))
 	}
-	p.era = p.config.Client.Era()
+	p.era = era
 	p.mu.Lock()
 	p.rewrites++
 	p.mu.Unlock()
-	if p.lease == 0 {
-		return
-	}
-	entry, err := p.config.Client.Get(ctx, p.config.Key)
-	if err != nil || entry.Lease != p.lease || !p.isOwn(entry) {
-		p.lease = 0
-	}
-	p.revision.Store(uint64(entry.Revision))
-	p.config.Logger.Info("roster: publishing again", zap.Uint32("era", uint32(p.era)), zap.Stringer("found", entry.Revision), zap.Bool("leaseStands", p.lease != 0))
+	return nil
 }
 
 // isOwn reports whether this process wrote an entry.
@@ -233,8 +257,8 @@
 		if err != nil {
 			return err
 		}
-		if p.isNewEra() {
-			return kv.ErrUnavailable.New("era %d began", p.config.Client.Era())
+		if era := p.latestEra(); era != p.era {
+			return kv.ErrUnavailable.New("era %d began", era)
 		}
 		p.lease = lease
 	}
@@ -280,7 +304,7 @@
 	if p.lease == 0 {
 		return
 	}
-	if p.isNewEra() {
+	if p.latestEra() != p.era {
 		p.wakeUp()
 		return
 	}
@@ -288,7 +312,7 @@
 	if err != nil && !errorx.IsOfType(err, kv.ErrNotFound) && p.config.Renew != nil {
 		err = p.config.Renew(ctx, p.era, p.lease)
 	}
-	if p.isNewEra() {
+	if p.latestEra() != p.era {
 		p.wakeUp()
 		return
 	}
@@ -303,7 +327,7 @@
 // lacks the entry, or is of a later era.
 func (p *Publisher) HandleView(view View) {
 	written := kv.Revision(p.revision.Load())
-	if view.Mirror.Revision().Era() > written.Era() {
+	if era := uint32(view.Mirror.Revision().Era()); p.viewEra.Swap(era) != era {
 		p.wakeUp()
 	}
 	if _, ok := view.Mirror.Entry(p.config.Key); ok || written == kv.Absent || view.Mirror.Revision() <= written {
--- a/roster/publisher_era_test.go
+++ b/roster/publisher_era_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -50,7 +51,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			service := kvfake.New(kvfake.Config{})
-			publisher := startPublisher(t, service)
+			publisher := startPublisher(t, service, eraLease)
 			member := Member{VM: "vm-1", Address: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: "1"}
 			publish := func() {
 				publisher.Set(member)
@@ -106,12 +107,53 @@
 	assert.NilError(t, renew(1))
 }
 
-// startPublisher starts a publisher of ownKey with short leases.
-func startPublisher(t *testing.T, service *kvfake.Service) *Publisher {
+// deafClient knows no era but those that it has seen in reads and writes of its own.
+type deafClient struct {
+	kv.Client
+	seen atomic.Uint32
+}
+
+func (c *deafClient) Era() kv.Era { return kv.Era(c.seen.Load()) }
+
+func (c *deafClient) Get(ctx context.Context, key string) (kv.Entry, error) {
+	defer func() { c.seen.Store(uint32(c.Client.Era())) }()
+	return c.Client.Get(ctx, key)
+}
+
+// TestViewNamesEra guards against a node whose view is of a new era with an older entry of
+// the node, which it replaces only after its next renewal.
+func TestViewNamesEra(t *testing.T) {
+	service := kvfake.New(kvfake.Config{})
+	publisher := startPublisher(t, &deafClient{Client: service}, time.Minute)
+	member := Member{VM: "vm-1", Address: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: "1"}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	publisher.Set(member)
+	assert.Assert(t, publisher.WaitConfirmed(ctx))
+	saved := service.Copy()
+	member.Leaving = true
+	publisher.Set(member)
+	assert.Assert(t, publisher.WaitConfirmed(ctx))
+
+	service.Restore(saved)
+	entries, revision, err := service.List(t.Context(), "online/")
+	assert.NilError(t, err)
+	mirror := NewMirror("online/", nil)
+	mirror.Apply(0, Delta{Whole: true, Revision: revision, Entries: entries})
+	publisher.HandleView(View{Mirror: mirror})
+	restoredAt := time.Now()
+	for !isLeaving(service) {
+		assert.Assert(t, time.Since(restoredAt) < maxRewriteTime, "not written again")
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// startPublisher starts a publisher of ownKey whose leases have a time to live.
+func startPublisher(t *testing.T, client kv.Client, lease time.Duration) *Publisher {
 	publisher := NewPublisher(PublisherConfig{
-		Client:       service,
+		Client:       client,
 		Key:          ownKey,
-		Lease:        eraLease,
+		Lease:        lease,
 		CurrentEntry: func() (kv.Entry, bool) { return kv.Entry{}, false },
 		Logger:       zap.NewNop(),
 	})
