Tell of each removal, and take no removed node from a source that is behind

What callers saw: nothing was reported of this. A node that had left stayed listed at a node that said that it was up to date, so that requests went on being sent to its backend server.

Cause: a view that a source confirms counts as complete up to the source's revision, and removals were missing from what the source told. A source that had listed the service knows no removal from before its list, nor did it keep one of a key that it had never held; its answer to a node that was behind went on from there. An answer of a source that is behind brought back a node of which the view knew no removal, and in a new era so did entries of the era before.

Change: a list raises the revision up to which removals may be missing, below which a whole answer is given; removals of keys that were never held are kept. A node's entry in an answer that is older than the view is not taken if the view would hold it otherwise. Between eras, entries of nodes are told in whole answers only.

--- a/roster/mirror.go
+++ b/roster/mirror.go
@@ -36,8 +36,8 @@
 // for concurrent use.
 //
 // Within an era of the service, an entry with a higher revision replaces one with a lower.
-// Revisions of two eras tell nothing of each other: the service may list an older entry of a
-// key than an earlier era had. Between eras the entry that its writer wrote later stays.
+// Revisions of two eras tell nothing of each other: the first list of an era may have an
+// older entry of a key than an earlier era had. There, what its writer wrote later stays.
 type Mirror struct {
 	// memberPrefix begins the keys of the nodes' entries.
 	memberPrefix string
@@ -45,9 +45,11 @@
 	compareOthers CompareFunc
 	revision      kv.Revision
 	entries       map[string]kv.Entry
-	// tombstones holds the latest removals, oldest first.
+	// tombstones holds the latest removals, also of keys that the mirror never held, in the
+	// order in which they were learned of.
 	tombstones []tombstone
-	// tombstoneFloor is the revision up to which tombstones may have been dropped.
+	// tombstoneFloor is the revision up to which removals may be missing: dropped, or before
+	// a whole delta, which names none.
 	tombstoneFloor kv.Revision
 	// decoded caches the members that entries describe, by key.
 	decoded map[string]decodedMember
@@ -55,11 +57,13 @@
 	lapsed map[string]lapsedMember
 }
 
-// tombstone records the removal of an entry.
+// tombstone records that a key was removed.
 type tombstone struct {
-	removed kv.Entry
+	key string
 	// revision is that of the removal, or of the list that lacked the entry.
 	revision kv.Revision
+	// removed is the entry that was removed; its key is empty if the mirror never held it.
+	removed kv.Entry
 }
 
 type lapsedMember struct {
@@ -112,28 +116,32 @@
 	}
 	changed := false
 	for _, entry := range delta.Entries {
-		changed = m.applyEntry(now, entry) || changed
+		changed = m.applyEntry(now, entry, delta.Revision) || changed
 	}
 	if delta.Whole {
 		changed = m.removeUnlisted(now, delta) || changed
+		m.tombstoneFloor = max(m.tombstoneFloor, delta.Revision)
 	}
 	m.revision = max(m.revision, delta.Revision)
 	return changed
 }
 
-func (m *Mirror) applyEntry(now time.Duration, entry kv.Entry) bool {
+// applyEntry applies an entry of a delta of a revision and reports whether anything has
+// changed.
+func (m *Mirror) applyEntry(now time.Duration, entry kv.Entry, revision kv.Revision) bool {
 	entry = m.trimmed(entry)
 	known, ok := m.entries[entry.Key]
-	if ok && !m.supersedes(entry, known) {
+	switch {
+	case ok && !m.supersedes(entry, known):
 		return false
-	}
-	if entry.Deleted {
-		if ok {
-			m.remove(now, known, entry.Revision)
-		}
-		return ok
-	}
-	if !ok && m.isRemoved(entry) {
+	case ok && entry.Deleted:
+		m.remove(now, known, entry.Revision)
+		return true
+	case entry.Deleted:
+		// A node that reads from this one may hold the entry.
+		m.addTombstone(tombstone{key: entry.Key, revision: entry.Revision})
+		return false
+	case !ok && m.isRemoved(entry, revision):
 		return false
 	}
 	m.entries[entry.Key] = entry
@@ -143,28 +151,32 @@
 
 // supersedes reports whether an entry that was read replaces the known one of its key.
 func (m *Mirror) supersedes(entry, known kv.Entry) bool {
-	if entry.Revision.Era() != known.Revision.Era() && !entry.Deleted {
-		if order := m.compare(entry, known); order != 0 {
-			return order > 0
-		}
+	era := entry.Revision.Era()
+	if era == known.Revision.Era() || entry.Deleted {
+		return entry.Revision > known.Revision
+	}
+	if m.isMember(entry.Key) && era < known.Revision.Era() {
+		return false
+	}
+	if order, ok := m.compare(entry, known); ok && order != 0 {
+		return order > 0
 	}
 	return entry.Revision > known.Revision
 }
 
-// compare is a CompareFunc for all entries.
-func (m *Mirror) compare(a, b kv.Entry) int {
-	switch {
-	case m.isMember(a.Key):
-	case m.compareOthers == nil:
-		return 0
-	default:
-		return m.compareOthers(a, b)
+// compare compares two entries of a key as their writer ordered them; false if nothing tells.
+func (m *Mirror) compare(a, b kv.Entry) (int, bool) {
+	if !m.isMember(a.Key) {
+		if m.compareOthers == nil {
+			return 0, false
+		}
+		return m.compareOthers(a, b), true
 	}
 	first, second := m.decode(a), m.decode(b)
 	if first.err != nil || second.err != nil {
-		return 0
+		return 0, false
 	}
-	return compareMembers(first.member, second.member)
+	return compareMembers(first.member, second.member), true
 }
 
 // olderEntries returns those of the entries that differ from the known ones of their keys
@@ -192,18 +204,26 @@
 	return entry
 }
 
-// isRemoved reports whether the key of an entry that is not known was removed after the
-// entry was written. An entry of a later era than the removal may be an older one that was
-// restored.
-func (m *Mirror) isRemoved(entry kv.Entry) bool {
+// isRemoved reports whether the key of an entry of a delta, which the mirror does not hold,
+// was removed after the entry was written. In a delta that is older than the mirror, that is
+// so for each entry that the mirror would hold otherwise. In a list of a later era than the
+// removal, the entry may be an older one that was restored.
+func (m *Mirror) isRemoved(entry kv.Entry, revision kv.Revision) bool {
+	isOlder := revision < m.revision || entry.Revision.Era() < m.revision.Era()
+	if isOlder && entry.Revision <= m.revision && m.isMember(entry.Key) {
+		return true
+	}
 	return slices.ContainsFunc(m.tombstones, func(t tombstone) bool {
-		if t.removed.Key != entry.Key {
+		switch {
+		case t.key != entry.Key:
+			return false
+		case t.revision.Era() >= entry.Revision.Era():
+			return t.revision > entry.Revision
+		case t.removed.Key == "" || !m.isMember(entry.Key):
 			return false
 		}
-		if t.revision.Era() < entry.Revision.Era() {
-			return m.isMember(entry.Key) && m.compare(entry, t.removed) <= 0
-		}
-		return t.revision > entry.Revision
+		order, _ := m.compare(entry, t.removed)
+		return order <= 0
 	})
 }
 
@@ -229,28 +249,37 @@
 func (m *Mirror) remove(now time.Duration, entry kv.Entry, revision kv.Revision) {
 	delete(m.entries, entry.Key)
 	m.lapsed[entry.Key] = lapsedMember{entry: entry, until: now + lapsedMemberTTL}
-	m.tombstones = append(m.tombstones, tombstone{removed: entry, revision: revision})
+	m.addTombstone(tombstone{key: entry.Key, revision: revision, removed: entry})
+}
+
+func (m *Mirror) addTombstone(added tombstone) {
+	isKnown := func(t tombstone) bool { return t.key == added.key && t.revision >= added.revision }
+	if slices.ContainsFunc(m.tombstones, isKnown) {
+		return
+	}
+	m.tombstones = append(m.tombstones, added)
 	if len(m.tombstones) > maxTombstones {
-		m.tombstoneFloor = m.tombstones[0].revision
+		m.tombstoneFloor = max(m.tombstoneFloor, m.tombstones[0].revision)
 		m.tombstones = slices.Delete(m.tombstones, 0, 1)
 	}
 }
 
 // Since returns the changes after a revision, or all entries if the revision is of an
-// earlier era or the removals since then are no longer known. Entries of earlier eras are
-// always among the changes: a list of the present era may have older ones.
+// earlier era or not all removals since then are known. Entries of earlier eras that are not
+// those of nodes are always among the changes: a list of the present era may have older ones.
 func (m *Mirror) Since(revision kv.Revision) Delta {
 	isEarlier := revision.Era() < m.revision.Era()
 	delta := Delta{Revision: m.revision, Whole: revision == 0 || isEarlier || revision < m.tombstoneFloor}
 	for _, entry := range m.entries {
-		if delta.Whole || entry.Revision > revision || entry.Revision.Era() < m.revision.Era() {
+		isKept := entry.Revision.Era() < m.revision.Era() && !m.isMember(entry.Key)
+		if delta.Whole || isKept || entry.Revision > revision {
 			delta.Entries = append(delta.Entries, entry)
 		}
 	}
 	if !delta.Whole {
 		for _, t := range m.tombstones {
 			if t.revision > revision {
-				delta.Entries = append(delta.Entries, kv.Entry{Key: t.removed.Key, Revision: t.revision, Deleted: true})
+				delta.Entries = append(delta.Entries, kv.Entry{Key: t.key, Revision: t.revision, Deleted: true})
 			}
 		}
 	}
