List a node that writes its entry in the new era, whatever was removed before

What callers saw: nothing was reported of this. A live node could stay unlisted for good.

Cause: in a new era, an entry counted as an older one that was restored if nothing told its order against what had been removed (another writer's odd entry), and also if the clock of its VM had been set back between two of its processes, so that the later one has the lower incarnation.

Change: nothing but a known order makes an entry an older one; what is written after the list of the era that was read first is newer than anything of an earlier era.

Measured: TestMirrorListsNodeAfterMalformedEntry and TestMirrorTakesProcessOfSlowerClock failed before and pass.

--- a/roster/mirror.go
+++ b/roster/mirror.go
@@ -158,12 +158,21 @@
 	if m.isMember(entry.Key) && era < known.Revision.Era() {
 		return false
 	}
+	if m.isMember(entry.Key) && m.isWrittenSince(entry) {
+		return true
+	}
 	if order, ok := m.compare(entry, known); ok && order != 0 {
 		return order > 0
 	}
 	return entry.Revision > known.Revision
 }
 
+// isWrittenSince reports whether an entry was written in the era of the mirror after it had
+// read a list of that era.
+func (m *Mirror) isWrittenSince(entry kv.Entry) bool {
+	return entry.Revision.Era() == m.revision.Era() && entry.Revision > m.revision
+}
+
 // compare compares two entries of a key as their writer ordered them; false if nothing tells.
 func (m *Mirror) compare(a, b kv.Entry) (int, bool) {
 	if !m.isMember(a.Key) {
@@ -219,11 +228,11 @@
 			return false
 		case t.revision.Era() >= entry.Revision.Era():
 			return t.revision > entry.Revision
-		case t.removed.Key == "" || !m.isMember(entry.Key):
+		case t.removed.Key == "" || !m.isMember(entry.Key) || m.isWrittenSince(entry):
 			return false
 		}
-		order, _ := m.compare(entry, t.removed)
-		return order <= 0
+		order, ok := m.compare(entry, t.removed)
+		return ok && order <= 0
 	})
 }
 
--- a/roster/mirror_era_test.go
+++ b/roster/mirror_era_test.go
@@ -185,3 +185,44 @@
 	members, _ = mirror.Members()
 	assert.Equal(t, len(members), 1)
 }
+
+// TestMirrorListsNodeAfterMalformedEntry guards against a live node that is never listed in a
+// new era because another writer's entry, which no node can be read from, was once removed
+// under its key: nothing tells the order of the two.
+func TestMirrorListsNodeAfterMalformedEntry(t *testing.T) {
+	mirror := NewMirror("online/", compareVersions)
+	mirror.Apply(0, Delta{Whole: true, Revision: inEra(1, 50), Entries: []kv.Entry{{Key: "online/a", Value: []byte("{"), Revision: inEra(1, 40)}}})
+	mirror.Apply(0, Delta{Revision: inEra(1, 61), Entries: []kv.Entry{removed("online/a", inEra(1, 61))}})
+	mirror.Apply(0, Delta{Whole: true, Revision: firstOfEra2, Entries: []kv.Entry{written("a", 2, 1, inEra(2, 59))}})
+	mirror.Apply(0, Delta{Revision: inEra(2, 70), Entries: []kv.Entry{written("a", 2, 2, inEra(2, 70))}})
+	assert.DeepEqual(t, listedVMs(mirror), []string{"a"})
+}
+
+// TestMirrorTakesProcessOfSlowerClock guards against a live node being unknown for good because
+// the clock of its VM was set back between two of its processes, so that the later one has the
+// lower incarnation.
+func TestMirrorTakesProcessOfSlowerClock(t *testing.T) {
+	cases := []struct {
+		name string
+		// removedIn1 is set if the entry of the process before was removed in era 1.
+		removedIn1 bool
+	}{
+		{"its earlier process is still listed", false},
+		{"the entry of its earlier process was removed", true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			mirror := NewMirror("online/", compareVersions)
+			mirror.Apply(0, Delta{Whole: true, Revision: inEra(1, 91), Entries: []kv.Entry{written("a", 2, 5, inEra(1, 90))}})
+			if c.removedIn1 {
+				mirror.Apply(0, Delta{Revision: inEra(1, 95), Entries: []kv.Entry{removed("online/a", inEra(1, 95))}})
+			}
+			mirror.Apply(0, Delta{Whole: true, Revision: firstOfEra2, Entries: []kv.Entry{written("a", 1, 1, inEra(2, 59))}})
+			mirror.Apply(0, Delta{Revision: inEra(2, 70), Entries: []kv.Entry{written("a", 1, 2, inEra(2, 70))}})
+			members, _ := mirror.Members()
+			assert.Equal(t, len(members), 1)
+			assert.Equal(t, members[0].Incarnation, "1")
+			assert.DeepEqual(t, listedVMs(mirror), []string{"a"})
+		})
+	}
+}
