Keep a lease in a new era only under an entry that was confirmed

What callers saw: nothing was reported of this.

Cause: an entry of this process with its lease's ID counted as proof that the lease is its own. A write that was sent under a lease of the era before and took effect in the new one makes such an entry under another node's lease, which was then renewed for good.

Change: the entry must be one that the service has confirmed in the era before.

Measured: TestPublisherWritesOverDrill failed before (the other node's entry still there 3 s after its lease of 1 s) and passes.

--- a/roster/publisher.go
+++ b/roster/publisher.go
@@ -54,8 +54,8 @@
 	viewEra atomic.Uint32
 	// entryMissing is set when a newer view lacks the entry.
 	entryMissing atomic.Bool
-	// confirmedValue is the last value that the service confirmed.
-	confirmedValue string
+	// confirmed is what the service confirmed last.
+	confirmed publication
 
 	mu     sync.Mutex
 	member Member
@@ -64,9 +64,9 @@
 	changes, confirmedChanges uint64
 	// rewrites counts the eras in which the member is written again.
 	rewrites uint64
-	// confirmed is closed and replaced when confirmedChanges grows.
-	confirmed chan struct{}
-	wake      chan struct{}
+	// grown is closed and replaced when confirmedChanges grows.
+	grown chan struct{}
+	wake  chan struct{}
 }
 
 // NewPublisher returns a publisher that publishes nothing until Set is called.
@@ -74,7 +74,7 @@
 	if config.Lease == 0 {
 		config.Lease = DefaultLease
 	}
-	return &Publisher{config: config, confirmed: make(chan struct{}), wake: make(chan struct{}, 1)}
+	return &Publisher{config: config, grown: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
 
 // Set changes the published member.
@@ -94,13 +94,13 @@
 	p.mu.Unlock()
 	for {
 		p.mu.Lock()
-		reached, confirmed := wanted > 0 && p.confirmedChanges >= wanted, p.confirmed
+		reached, grown := wanted > 0 && p.confirmedChanges >= wanted, p.grown
 		p.mu.Unlock()
 		if reached {
 			return true
 		}
 		select {
-		case <-confirmed:
+		case <-grown:
 		case <-ctx.Done():
 			return false
 		}
@@ -115,23 +115,27 @@
 		return
 	}
 	p.confirmedChanges = change
-	close(p.confirmed)
-	p.confirmed = make(chan struct{})
+	close(p.grown)
+	p.grown = make(chan struct{})
 }
 
-// value returns the encoded member and the number of its Set, which is zero before the
-// first.
-func (p *Publisher) value() (string, uint64) {
+// publication is a member as it is published.
+type publication struct {
+	// value is the encoded member.
+	value string
+	// change is the number of the Set, and sequence that of the value.
+	change, sequence uint64
+}
+
+// current returns what is to be published; false before the first Set.
+func (p *Publisher) current() (publication, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.changes == 0 {
-		return "", 0
-	}
-	// The encoding of a Member cannot fail.
 	member := p.member
 	member.Sequence = p.changes + p.rewrites
+	// The encoding of a Member cannot fail.
 	data, _ := json.Marshal(member)
-	return string(data), p.changes
+	return publication{value: string(data), change: p.changes, sequence: member.Sequence}, p.changes > 0
 }
 
 // Run publishes the member and renews its lease until ctx is done.
@@ -184,20 +188,20 @@
 		p.lease = 0
 		p.revision.Store(uint64(kv.Absent))
 	}
-	value, change := p.value()
-	if change == 0 {
+	current, ok := p.current()
+	if !ok {
 		return true, nil
 	}
-	if value == p.confirmedValue && p.lease != 0 {
-		p.setConfirmed(change)
+	if current.value == p.confirmed.value && p.lease != 0 {
+		p.setConfirmed(current.change)
 		return true, nil
 	}
-	if err := p.write(ctx, value); err != nil {
+	if err := p.write(ctx, current.value); err != nil {
 		return false, err
 	}
 	if p.latestEra() == p.era {
-		p.confirmedValue = value
-		p.setConfirmed(change)
+		p.confirmed = current
+		p.setConfirmed(current.change)
 	}
 	return false, nil
 }
@@ -225,7 +229,7 @@
 			return kv.ErrUnavailable.New("the service is in era %d, not %d", p.config.Client.Era(), era)
 		}
 		p.revision.Store(uint64(entry.Revision))
-		leaseStands := entry.Lease == p.lease && p.isOwn(entry)
+		leaseStands := entry.Lease == p.lease && p.isConfirmed(entry)
 		if !leaseStands {
 			p.lease = 0
 		}
@@ -238,15 +242,16 @@
 	return nil
 }
 
-// isOwn reports whether this process wrote an entry.
-func (p *Publisher) isOwn(entry kv.Entry) bool {
+// isConfirmed reports whether an entry is one that the service has confirmed to this process.
+// Another one may have been written late, under a lease ID that was given out again.
+func (p *Publisher) isConfirmed(entry kv.Entry) bool {
 	var member Member
 	if err := json.Unmarshal(entry.Value, &member); err != nil {
 		return false
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return member.Incarnation == p.member.Incarnation
+	return member.Incarnation == p.member.Incarnation && member.Sequence <= p.confirmed.sequence
 }
 
 // write replaces the entry at its last known revision, so that a write that takes
--- a/roster/publisher_era_test.go
+++ b/roster/publisher_era_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -181,3 +182,54 @@
 	var member Member
 	return err == nil && json.Unmarshal(entry.Value, &member) == nil && member.Leaving
 }
+
+// drillingClient is a client of a service that comes back from a copy just before the first
+// write takes effect.
+type drillingClient struct {
+	*kvfake.Service
+	once  sync.Once
+	drill func()
+}
+
+func (c *drillingClient) Put(ctx context.Context, put kv.PutRequest) (kv.Entry, error) {
+	c.once.Do(c.drill)
+	return c.Service.Put(ctx, put)
+}
+
+// TestPublisherWritesOverDrill guards against a node that goes on with another node's lease:
+// its first write, sent before the service came back from a copy, takes effect afterwards, when
+// the ID of its lease is that of the other one. So the entry has this ID and is its own.
+func TestPublisherWritesOverDrill(t *testing.T) {
+	service := kvfake.New(kvfake.Config{})
+	saved := service.Copy()
+	client := &drillingClient{Service: service, drill: func() {
+		service.Restore(saved)
+		lease, err := service.Grant(t.Context(), eraLease)
+		assert.NilError(t, err)
+		_, err = service.Put(t.Context(), kv.PutRequest{Key: otherKey, Lease: lease})
+		assert.NilError(t, err)
+	}}
+	publisher := NewPublisher(PublisherConfig{
+		Client:       client,
+		Key:          ownKey,
+		Lease:        eraLease,
+		CurrentEntry: func() (kv.Entry, bool) { return kv.Entry{}, false },
+		Logger:       zap.NewNop(),
+	})
+	done := make(chan error, 1)
+	ctx, stop := context.WithCancel(t.Context())
+	go func() { done <- publisher.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		assert.NilError(t, <-done)
+	})
+	publisher.Set(Member{VM: "vm-1", Address: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: "1"})
+	wait, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	assert.Assert(t, publisher.WaitConfirmed(wait))
+	time.Sleep(3 * eraLease)
+	_, err := service.Get(t.Context(), ownKey)
+	assert.NilError(t, err)
+	_, err = service.Get(t.Context(), otherKey)
+	assert.ErrorContains(t, err, "no key", "another node's lease is renewed")
+}
