Give the directory's test client the era of the store

kv.Client has a method Era since; the test double of the directory's tests lacked it, so that go vet ./... and go test ./directory did not build. With it, go vet ./... is clean and ./directory passes (10.2 s).

--- a/directory/platform_test.go
+++ b/directory/platform_test.go
@@ -56,6 +56,8 @@
 	return p.m.site.platform, nil
 }
 
+func (p memberPlatform) Era() kv.Era { return p.m.site.platform.Era() }
+
 func (p memberPlatform) Get(ctx context.Context, key string) (kv.Entry, error) {
 	c, err := p.client()
 	if err != nil {
