Free no relay slot by a list that is older than its entry

MergeZone freed the slots that a list lacked at max(read, known.Revision+1). A list that was read before the slot's entry was written, and answered after the entry had become known (a search for relays beside the taking of a slot, a list of another zone beside that zone's own relays), thus made up a revision above all that the platform had given out. The entry itself, read again, then counted as the older one: the relay stayed off the table, with every node that merged the table, until its slot was written again. Nodes would not link to it, and the zone's majority of base relays would be counted without it.

A slot is now freed at the revision of the list, which an entry written later outlasts. In one history of the platform nothing else changes: an entry that is no newer than the list and not in it has ended.

TestLateListOfRelays failed before (the table was empty) and passes; ./directory passes (10.0 s).

--- a/directory/relays.go
+++ b/directory/relays.go
@@ -53,7 +53,7 @@
 }
 
 // MergeZone applies the platform's full list of a zone, read at a revision.
-// Slots that are not in the list are free.
+// Slots that are not in the list are free, unless their entries were written later.
 func (t *RelayTable) MergeZone(zone string, relays []Relay, read kv.Revision) {
 	listed := make(map[int]struct{}, len(relays))
 	for _, r := range relays {
@@ -62,7 +62,7 @@
 	}
 	for key, known := range t.slots {
 		if _, ok := listed[key.slot]; !ok && key.zone == zone && known.VM != "" {
-			t.Merge(Relay{Zone: zone, Slot: key.slot, Revision: max(read, known.Revision+1)})
+			t.Merge(Relay{Zone: zone, Slot: key.slot, Revision: read})
 		}
 	}
 }
