Keep a backend server listed when a node moves to a relay that lags

The link of a node keeps its source number when it moves to another relay. Where that relay had an earlier announcement of a VM than the relay before it (the same incarnation, a lower sequence), State.Merge took the source off the record and ignored the entry, as one that the VM itself has replaced. With no other source the record was then neither listed nor gone: the backend server vanished from Targets without a change that told of it, until the new relay had caught up; if that one dropped the VM instead, no tombstone followed, and the record stayed in memory.

A relay that lists an earlier announcement of the same start lists the VM all the same: it stays a source of the later entry. An entry that nothing lists any more is not brought back by it, as before.

--- a/directory/record.go
+++ b/directory/record.go
@@ -9,7 +9,8 @@
 // listed is kept for a while as a tombstone.
 type record struct {
 	entry Entry
-	// sources are the relays that list the current entry.
+	// sources are the relays that list the current entry, or an earlier one of the same
+	// incarnation.
 	sources []Source
 	// alternatives are older entries that other relays list for the same VM.
 	// They are not necessarily wrong, as a restarted node's clock may have been
--- a/directory/state.go
+++ b/directory/state.go
@@ -146,14 +146,18 @@
 		r = &record{}
 		s.records[e.VM] = r
 	}
+	wasListed := r.listed()
 	r.removeSource(source)
 	order := 1
 	if known && (r.listed() || e.Incarnation == r.entry.Incarnation) {
 		order = e.compareVersion(&r.entry)
 	}
 	switch {
+	case order < 0 && e.Incarnation == r.entry.Incarnation && wasListed:
+		// The relay lags: it lists the VM, and the node itself has replaced what it lists.
+		r.sources = append(r.sources, source)
 	case order < 0 && e.Incarnation == r.entry.Incarnation:
-		// The relay lags: the node itself has replaced what the relay lists.
+		// Nothing lists what the node itself has replaced.
 	case order < 0:
 		r.alternatives = append(r.alternatives, alternative{source, e})
 	case order == 0 && !r.listed():
--- a/directory/state_test.go
+++ b/directory/state_test.go
@@ -274,3 +274,25 @@
 		})
 	}
 }
+
+// TestRelayBehindAnother guards against a backend server that is no longer listed, without a
+// change that tells of it, after a node has moved to a relay that has an earlier
+// announcement than the relay before it.
+func TestRelayBehindAnother(t *testing.T) {
+	const source directory.Source = 1
+	later := makeEntry(1, "orders")
+	earlier := later
+	later.Sequence, later.Connections = 2, 200
+	s := directory.NewState(directory.StateConfig{Zone: "a", TombstoneTTL: time.Second})
+	s.Merge(source, later)
+	listedAt := s.Version()
+
+	s.Merge(source, earlier)
+	s.Retain(start, source, map[string]struct{}{earlier.VM: {}})
+	assert.Equal(t, len(s.Targets("orders")), 1)
+	assert.Equal(t, s.Targets("orders")[0].Connections, 200)
+
+	s.Unlist(start, source, earlier.VM)
+	assert.Equal(t, len(s.Targets("orders")), 0)
+	assert.DeepEqual(t, s.ChangesSince(listedAt, nodeFilter).Gone, []string{earlier.VM})
+}
