Take the listing of a starting relay for no proof of what it lacks

A relay that starts has an empty state and lists what it has heard of by then; it says so (starting in Update). Relays that follow one another honour this, but a node didn't: on its links the listing replaced what the relay before had listed, and counted as the answer that a service has no other backend server. When both relays of a node restart, as in a rolling update, the node dropped backend servers that were alive, and a first request to a service was answered by none, until the nodes had announced themselves again.

Each connection of a node to a relay now has a source of its own, as between relays, and what the connection before has listed goes at once if the relay is ready, or 4 s later if it is starting. The answer of a starting relay counts after the same 4 s, when it has received all entries; until then another relay's answer decides.

TestListingOfStartingRelay failed before (OnTargets called with 0 backend servers; with that part mended, 1 listed instead of 2) and passes. ./directory passes (10.6 s), and so do TestFirstRequest, TestRefuseWhenOlder and TestPlatformOutage of ./e2e (69.6 s).

--- a/directory/link_choice.go
+++ b/directory/link_choice.go
@@ -13,9 +13,9 @@
 
 // runNodeLink keeps one of the links by which the node announces itself. The
 // wait between attempts does not grow, because relays that fail are skipped for
-// a while.
+// a while. Each connection has its own source, as in runMeshLink.
 func (d *Directory) runNodeLink(ctx context.Context, i int) error {
-	source, wasRelay := d.newSource(), false
+	source, listedBy, wasRelay := d.newSource(), "", false
 	for ; ctx.Err() == nil; d.pauseLink(ctx) {
 		asRelay := d.isRelay()
 		if asRelay && !wasRelay {
@@ -27,9 +27,15 @@
 		if !ok {
 			continue
 		}
-		l := &link{d: d, relay: relay, role: peerpb.Role_ROLE_NODE, source: source, index: i, asRelay: asRelay}
+		l := &link{
+			d: d, relay: relay, role: peerpb.Role_ROLE_NODE, source: d.newSource(), previous: source,
+			previousRelay: listedBy, index: i, asRelay: asRelay,
+		}
 		began := time.Now()
 		_, err := l.run(ctx)
+		if source = d.sourceAfter(l, source); source == l.source {
+			listedBy = relay.VM
+		}
 		d.endNodeLink(i, relay, errorx.IsOfType(err, errMoved) || time.Since(began) >= minLinkTime)
 		d.logger.Debug("directory: link ended", zap.String("relay", relay.VM), zap.Error(err))
 	}
--- a/directory/link_receive.go
+++ b/directory/link_receive.go
@@ -95,7 +95,11 @@
 		return
 	}
 	l.awaitingListing = false
-	l.d.subscription.recordAnswer(l.index, l.subscribed)
+	if starting {
+		l.d.subscription.recordStartingAnswer(l.index, l.subscribed, now)
+	} else {
+		l.d.subscription.recordAnswer(l.index, l.subscribed)
+	}
 	l.d.wake()
 }
 
--- a/directory/loops.go
+++ b/directory/loops.go
@@ -28,6 +28,9 @@
 	d.announceSelf(now)
 	d.dropRetired(now)
 	d.markRelayReady(now)
+	if d.subscription.completeStarting(now) {
+		d.wake()
+	}
 	d.state.Tick(now)
 	if d.state.Version() != before {
 		d.wake()
--- a/directory/restart_test.go
+++ b/directory/restart_test.go
@@ -1,13 +1,21 @@
 package directory_test
 
 import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"auburngap/directory"
+	"auburngap/kv"
+	"auburngap/kv/fake"
+	"auburngap/peer/peerpb"
 )
 
 // TestRestartedRelayLosesNoTarget restarts the relays of a zone one after another.
@@ -45,3 +53,109 @@
 		}
 	})
 }
+
+// scriptedNode is a node whose relays are played by the test.
+type scriptedNode struct {
+	directory *directory.Directory
+	counts    *targetCounts
+	relays    scriptedRelay
+}
+
+// runScripted runs a node that knows some relays, until stop is called.
+func runScripted(t *testing.T, relays int) (node *scriptedNode, stop func()) {
+	service := fake.New(fake.Config{})
+	for i := range relays {
+		slot := fmt.Appendf(nil, `{"vm":"scripted-%d","address":"127.0.0.9:%d"}`, i, i+1)
+		_, err := service.Put(t.Context(), kv.PutRequest{Key: fmt.Sprintf("zones/a/relays/%d", i), Value: slot})
+		assert.NilError(t, err)
+	}
+	node = &scriptedNode{counts: &targetCounts{services: make(map[string][]int)}, relays: make(scriptedRelay, 1)}
+	node.directory = directory.New(directory.Config{
+		VM: "vm", Zone: "a", Address: netip.MustParseAddrPort("127.0.0.1:1"), Platform: service, Peers: node.relays,
+		Bundles: &sink{}, Source: source{service}, OnTargets: node.counts.onTargets, Logger: zap.NewNop(),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- node.directory.Run(ctx) }()
+	return node, func() {
+		cancel()
+		assert.NilError(t, <-done)
+	}
+}
+
+// join waits until the node has subscribed at both of its relays.
+func (n *scriptedNode) join(t *testing.T) []*memoryStream {
+	streams := []*memoryStream{<-n.relays, <-n.relays}
+	for _, stream := range streams {
+		nextSubscribe(t, stream)
+		answered := &peerpb.DirectoryFrame{Frame: &peerpb.DirectoryFrame_Versions{Versions: &peerpb.BundleVersions{}}}
+		assert.NilError(t, stream.Send(answered))
+	}
+	return streams
+}
+
+// leave closes the streams of relays.
+func leave(t *testing.T, streams []*memoryStream) {
+	for _, stream := range streams {
+		assert.NilError(t, stream.Close())
+	}
+}
+
+// list sends full listings of relays with the backend servers of some VMs.
+func list(t *testing.T, streams []*memoryStream, starting bool, vms ...string) {
+	t.Helper()
+	update := &peerpb.Update{Whole: true, Starting: starting}
+	address, err := netip.MustParseAddrPort("127.0.0.7:7000").MarshalBinary()
+	assert.NilError(t, err)
+	for _, vm := range vms {
+		update.Announcements = append(update.Announcements, &peerpb.Announcement{
+			Vm: vm, AvailabilityZone: "a", Address: address, Incarnation: 1, Sequence: 1, Service: "orders", Slots: 1,
+		})
+	}
+	for _, stream := range streams {
+		assert.NilError(t, stream.Send(&peerpb.DirectoryFrame{Frame: &peerpb.DirectoryFrame_Update{Update: update}}))
+	}
+}
+
+// TestListingOfStartingRelay guards against a service that counts as without backend
+// servers, or loses some, because the relays have just started and list few: they list
+// those that they have heard of, which tells nothing of the others.
+func TestListingOfStartingRelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer onOneThread()()
+		node, stop := runScripted(t, 2)
+		defer stop()
+		node.directory.SetServices([]string{"orders"})
+
+		first := node.join(t)
+		list(t, first, true)
+		time.Sleep(3 * time.Second)
+		assert.DeepEqual(t, node.counts.counts("orders"), []int(nil))
+		list(t, first, false, "vm-1", "vm-2")
+		time.Sleep(time.Second)
+		assert.Equal(t, len(node.directory.Targets("orders")), 2)
+
+		leave(t, first)
+		second := node.join(t)
+		list(t, second, true, "vm-1")
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, len(node.directory.Targets("orders")), 2)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, len(node.directory.Targets("orders")), 1)
+		assert.Assert(t, !slices.Contains(node.counts.counts("orders"), 0), "reported %v", node.counts.counts("orders"))
+	})
+}
+
+// TestStartingRelayListsNothing checks that a service without backend servers is reported
+// as such once the relays that started must have received all entries.
+func TestStartingRelayListsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer onOneThread()()
+		node, stop := runScripted(t, 2)
+		defer stop()
+		node.directory.SetServices([]string{"orders"})
+		list(t, node.join(t), true)
+		time.Sleep(5 * time.Second)
+		assert.DeepEqual(t, node.counts.counts("orders"), []int{0})
+	})
+}
