Take a read that found a newer bundle for no confirmation of the active one

ConfirmedAt, by which a node refuses the requests of a workspace with refuseWhenOlder, followed the last read of the platform that reached the node through relays, whatever that read had found. Relays of other zones report their reads but send no bundles, so that in a zone that had lost the platform alone the nodes took a bundle for confirmed that had been replaced: a key that was withdrawn meanwhile kept working for as long as the zone was cut off, also where the operators had asked for its refusal. The same held for a zone whose base relays read the platform but don't reach a majority of one another, and for a node that could not use a version.

A read now carries the newest version that it found. It confirms the active bundle, and what a relay reports to others, only once that version is there; the earliest read that waits for it is kept, so that versions which arrive faster than they become active don't put it off for ever. Messages are the same.

TestConfirmedWithoutVersion failed before (six nodes at version 1, confirmed 50 s after version 2 was rolled out) and passes, as does TestConfirmations. ./directory passes (10.6 s), and so do TestRefuseWhenOlder, TestWithdrawnKey and TestCutZone of ./e2e (82.5 s).

--- a/directory/bundle_store.go
+++ b/directory/bundle_store.go
@@ -1,7 +1,5 @@
 package directory
 
-import "time"
-
 import "slices"
 
 // maxHeld is the maximum number of bundles that wait for their release.
@@ -29,9 +27,6 @@
 	reports map[string]relayVersions
 	// changes counts the changes that subscribers have to receive.
 	changes uint64
-	// confirmedAt is when the platform was last read, by this node or by a
-	// relay that reports it here.
-	confirmedAt time.Time
 }
 
 type heldBundle struct {
@@ -118,21 +113,13 @@
 
 // platformRead records that the platform's head has been read. So no newer
 // version can have been forgotten.
-func (s *bundleStore) platformRead(now time.Time) {
-	s.confirm(now)
+func (s *bundleStore) platformRead() {
 	if !s.caughtUp {
 		s.caughtUp = true
 		s.changes++
 	}
 }
 
-// confirm records that a node read the platform at a time.
-func (s *bundleStore) confirm(at time.Time) {
-	if at.After(s.confirmedAt) {
-		s.confirmedAt = at
-	}
-}
-
 func (s *bundleStore) setReport(vm string, v relayVersions) { s.reports[vm] = v }
 
 func (s *bundleStore) removeReport(vm string) { delete(s.reports, vm) }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -153,7 +153,10 @@
 	state   *State
 	relays  *RelayTable
 	bundles *bundleStore
-	self    Entry
+	// activeConfirmed and heldConfirmed tell when the active bundle, and the newest one
+	// here, were last confirmed.
+	activeConfirmed, heldConfirmed confirmations
+	self                           Entry
 	// subscription holds the services that this node subscribes to.
 	subscription subscription
 	slot         int
--- a/directory/link_receive.go
+++ b/directory/link_receive.go
@@ -124,7 +124,7 @@
 
 // applyVersions applies the bundle versions that the relay reports.
 func (l *link) applyVersions(m *peerpb.BundleVersions) {
-	l.d.applyConfirmationAge(m.GetWordAgeMicros())
+	l.d.applyConfirmationAge(m)
 	switch l.role {
 	case peerpb.Role_ROLE_NODE:
 		l.d.setAnswered(l.index, true)
--- a/directory/platform_test.go
+++ b/directory/platform_test.go
@@ -50,7 +50,7 @@
 func (p memberPlatform) client() (kv.Client, error) {
 	p.m.site.mu.Lock()
 	defer p.m.site.mu.Unlock()
-	if p.l.killed.Load() || p.m.site.isolatedZone == p.m.zone || p.m.site.unresponsive == p.m {
+	if p.l.killed.Load() || p.m.site.isolatedZone == p.m.zone || p.m.site.withoutPlatform == p.m.zone || p.m.site.unresponsive == p.m {
 		return nil, kv.ErrUnavailable.New("isolated")
 	}
 	return p.m.site.platform, nil
--- a/directory/site_test.go
+++ b/directory/site_test.go
@@ -38,6 +38,8 @@
 	streams   map[*memoryStream]struct{}
 	// isolatedZone can reach neither other zones nor the platform.
 	isolatedZone string
+	// withoutPlatform is a zone that can't reach the platform.
+	withoutPlatform string
 	// unresponsive is a member to and from which all frames are dropped.
 	unresponsive *member
 	// sentBytes counts the payload bytes of all frames.
@@ -237,6 +239,13 @@
 	}
 }
 
+// losePlatform separates a zone from the platform; "" reconnects it.
+func (s *site) losePlatform(zone string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.withoutPlatform = zone
+}
+
 // makeUnresponsive makes a member's VM unresponsive without closing its streams.
 func (s *site) makeUnresponsive(m *member) {
 	s.mu.Lock()
--- a/directory/watch.go
+++ b/directory/watch.go
@@ -108,7 +108,8 @@
 			wait.wait(ctx)
 			continue
 		}
-		d.updateBundles(func(s *bundleStore) { s.platformRead(time.Now()) })
+		d.updateBundles((*bundleStore).platformRead)
+		d.confirm(confirmation{version: d.newestVersion(), at: time.Now()})
 		wait.reset()
 		read = d.nextBundle
 	}
@@ -117,8 +118,12 @@
 
 // nextBundle waits for a bundle above the newest one here.
 func (d *Directory) nextBundle(ctx context.Context) (uint64, []byte, error) {
+	return d.config.Source.Next(ctx, d.newestVersion())
+}
+
+// newestVersion returns the version of the newest bundle here.
+func (d *Directory) newestVersion() uint64 {
 	d.mu.Lock()
-	above := d.bundles.newest().version
-	d.mu.Unlock()
-	return d.config.Source.Next(ctx, above)
+	defer d.mu.Unlock()
+	return d.bundles.newest().version
 }
