Read the head again once the platform has forgotten the changes before it

Follower.Next watches the head from the beginning of the service's history. A service that no longer has that history answers kv.ErrCompacted, each time, and Next gave it back: a base relay that had started before would read no further version, and with all three a zone would keep the bundle that it had. Next now lists the head and watches from the list's revision, as the service's interface asks. (The service's own protocol over HTTP has no status for ErrCompacted yet.)

TestNextAfterCompaction failed before (kv.compacted) and passes; ./bundle passes (2.8 s).

--- a/bundle/follower.go
+++ b/bundle/follower.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/joomcode/errorx"
+
 	"auburngap/kv"
 )
 
@@ -167,10 +169,14 @@
 	after := kv.Absent
 	for {
 		changes, revision, err := f.config.Client.Watch(ctx, KeyHead, after)
+		compacted := errorx.IsOfType(err, kv.ErrCompacted)
+		if compacted {
+			changes, revision, err = f.config.Client.List(ctx, KeyHead)
+		}
 		if err != nil {
 			return 0, nil, err
 		}
-		if len(changes) == 0 {
+		if len(changes) == 0 && !compacted {
 			return 0, nil, nil
 		}
 		after = revision
--- a/bundle/follower_test.go
+++ b/bundle/follower_test.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -81,6 +83,28 @@
 	assert.Assert(t, err != nil)
 }
 
+// TestNextAfterCompaction guards against a relay that reads no further version once the
+// platform has forgotten the changes before its watch.
+func TestNextAfterCompaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, _ := publishVersions(t, 3)
+		relay := newFollower(d)
+		_, _, err := relay.Head(t.Context())
+		assert.NilError(t, err)
+		d.service.Compact()
+		before := d.service.Counts()
+		version, _, err := relay.Next(t.Context(), 3)
+		assert.NilError(t, err)
+		assert.Equal(t, version, uint64(0))
+		assert.Assert(t, d.service.Counts().Reads() < before.Reads()+5, "%v, %v before", d.service.Counts(), before)
+
+		time.AfterFunc(time.Second, func() { d.publish(testBundle(t)) })
+		version, _, err = relay.Next(t.Context(), 3)
+		assert.NilError(t, err)
+		assert.Equal(t, version, uint64(4))
+	})
+}
+
 // TestOnActivateIsCalledInOrder offers many versions concurrently.
 func TestOnActivateIsCalledInOrder(t *testing.T) {
 	d := newDeployment(t)
