Count the base relays that the answers to a starting node have named

A node that starts serves once as many base relays have named the version that they hold as meet every majority. The number was taken from the relays known before the queries. Where the first peer knew one relay (it had just started itself, or the zone had), one answer was enough, although it named the two others: the node could go back to a version older than the one that it had in force before its restart, if that relay was behind.

The base relays are now those known after the queries.

TestStartWithPartOfRelays failed before (caught up with version 5 by one relay of three) and passes; ./directory passes (11.1 s), and so do TestRollingRestart, TestPlatformOutage and TestKilledNode of ./e2e (67.0 s).

--- a/directory/search.go
+++ b/directory/search.go
@@ -222,20 +222,19 @@
 // the highest version held, once enough have answered to intersect every
 // majority.
 func (d *Directory) queryBaseRelays(ctx context.Context, answers map[string]relayVersions) (uint64, bool) {
-	d.mu.Lock()
-	base := d.relays.Base(d.config.Zone, d.config.Timing.BaseSlots)
-	if d.bundles.caughtUp {
-		answers[d.config.VM] = relayVersions{held: d.bundles.newest().version, caughtUp: true}
-	}
-	d.mu.Unlock()
-	count, highest := 0, uint64(0)
-	for _, relay := range base {
+	for _, relay := range d.baseRelays() {
 		if _, ok := answers[relay.VM]; !ok && relay.VM != d.config.VM {
 			a, err := d.query(ctx, relay.Address)
 			if err == nil && a.versions.caughtUp {
 				answers[relay.VM] = a.versions
 			}
 		}
+	}
+	d.answerLocally(answers)
+	// The relays that have answered may have named others.
+	base := d.baseRelays()
+	count, highest := 0, uint64(0)
+	for _, relay := range base {
 		if a, ok := answers[relay.VM]; ok {
 			count++
 			highest = max(highest, a.held)
@@ -244,6 +243,22 @@
 	return highest, len(base) > 0 && count >= intersectsMajorities(len(base))
 }
 
+// answerLocally adds this node's own answer if it is a relay that is sure of its memory.
+func (d *Directory) answerLocally(answers map[string]relayVersions) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.bundles.caughtUp {
+		answers[d.config.VM] = relayVersions{held: d.bundles.newest().version, caughtUp: true}
+	}
+}
+
+// baseRelays returns the known relays of the zone that watch the platform.
+func (d *Directory) baseRelays() []Relay {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.relays.Base(d.config.Zone, d.config.Timing.BaseSlots)
+}
+
 // queryHead reads the platform's head. No higher version can be active.
 func (d *Directory) queryHead(ctx context.Context) (uint64, bool) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
