Drop what an ended link has listed while another link answers

A node keeps what a link has listed when the link ends, until another relay has sent its listing on that link. Where the zone has no other relay that the link could go to (one of two is left, or the platform is down, so that no slot is taken), the link kept its last listing for good, beside that of the node's other link: a backend server that was gone since then stayed listed, and requests went on being sent to it.

The listing goes once the link has been down for ZoneTimeout (20 s), as between relays, if another link's relay answers. Without such an answer it stays.

--- a/directory/link_choice.go
+++ b/directory/link_choice.go
@@ -13,9 +13,12 @@
 
 // runNodeLink keeps one of the links by which the node announces itself. The
 // wait between attempts does not grow, because relays that fail are skipped for
-// a while. Each connection has its own source, as in runMeshLink.
+// a while. Each connection has its own source, as in runMeshLink. What the last one
+// listed is dropped once the link has been down for ZoneTimeout while another
+// link's relay answers; without that, it is the best that the node knows.
 func (d *Directory) runNodeLink(ctx context.Context, i int) error {
 	source, listedBy, wasRelay := d.newSource(), "", false
+	upAt := time.Now()
 	for ; ctx.Err() == nil; d.pauseLink(ctx) {
 		asRelay := d.isRelay()
 		if asRelay && !wasRelay {
@@ -23,6 +26,10 @@
 			source = d.newSource()
 		}
 		wasRelay = asRelay
+		if time.Since(upAt) >= d.config.Timing.ZoneTimeout && d.isConnected() {
+			d.dropSource(source)
+			upAt = time.Now()
+		}
 		relay, ok := d.chooseRelay(time.Now(), i)
 		if !ok {
 			continue
@@ -34,7 +41,7 @@
 		began := time.Now()
 		_, err := l.run(ctx)
 		if source = d.sourceAfter(l, source); source == l.source {
-			listedBy = relay.VM
+			listedBy, upAt = relay.VM, time.Now()
 		}
 		d.endNodeLink(i, relay, errorx.IsOfType(err, errMoved) || time.Since(began) >= minLinkTime)
 		d.logger.Debug("directory: link ended", zap.String("relay", relay.VM), zap.Error(err))
--- a/directory/restart_test.go
+++ b/directory/restart_test.go
@@ -85,13 +85,16 @@
 
 // join waits until the node has subscribed at both of its relays.
 func (n *scriptedNode) join(t *testing.T) []*memoryStream {
-	streams := []*memoryStream{<-n.relays, <-n.relays}
-	for _, stream := range streams {
-		nextSubscribe(t, stream)
-		answered := &peerpb.DirectoryFrame{Frame: &peerpb.DirectoryFrame_Versions{Versions: &peerpb.BundleVersions{}}}
-		assert.NilError(t, stream.Send(answered))
-	}
-	return streams
+	return []*memoryStream{n.joinOne(t), n.joinOne(t)}
+}
+
+// joinOne waits until the node has subscribed at a relay.
+func (n *scriptedNode) joinOne(t *testing.T) *memoryStream {
+	stream := <-n.relays
+	nextSubscribe(t, stream)
+	answered := &peerpb.DirectoryFrame{Frame: &peerpb.DirectoryFrame_Versions{Versions: &peerpb.BundleVersions{}}}
+	assert.NilError(t, stream.Send(answered))
+	return stream
 }
 
 // leave closes the streams of relays.
@@ -159,3 +162,32 @@
 		assert.DeepEqual(t, node.counts.counts("orders"), []int{0})
 	})
 }
+
+// TestListOfEndedLink guards against a backend server that stays listed for good, because a
+// link listed it that has ended and finds no other relay: the zone has one relay left, to
+// which the node's other link leads.
+func TestListOfEndedLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer onOneThread()()
+		node, stop := runScripted(t, 1)
+		defer stop()
+		node.directory.SetServices([]string{"orders"})
+		// Which of the two links reaches the relay again differs.
+		for range 6 {
+			stream := []*memoryStream{node.joinOne(t)}
+			list(t, stream, false, "vm-1", "vm-2")
+			time.Sleep(2 * time.Second)
+			assert.Equal(t, len(node.directory.Targets("orders")), 2)
+			leave(t, stream)
+			stream = []*memoryStream{node.joinOne(t)}
+			list(t, stream, false, "vm-1")
+			time.Sleep(9 * time.Second)
+			list(t, stream, false, "vm-1")
+			time.Sleep(9 * time.Second)
+			list(t, stream, false, "vm-1")
+			time.Sleep(4 * time.Second)
+			assert.Equal(t, len(node.directory.Targets("orders")), 1)
+			leave(t, stream)
+		}
+	})
+}
