--- a/share/client.go
+++ b/share/client.go
@@ -178,17 +178,7 @@
 }
 
 func (c *Client) send(index *bundle.Index, draw Draw) (Grant, bool) {
-	shard, ok := shardInZone(index, draw.Workspace, draw.LenderZone)
-	if !ok {
-		return Grant{}, false
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
-	defer cancel()
-	answer, err := c.config.Peers.Draw(ctx, drawToProto(draw, shard))
-	if err != nil || answer.GetNotOwner() {
-		return Grant{}, false
-	}
-	return grantFromProto(answer), true
+	return sendDraw(c.config.Peers, index, draw, answerTimeout)
 }
 
 // Close gives all tokens back. It is called in a graceful shutdown, after the
--- a/share/owner.go
+++ b/share/owner.go
@@ -282,18 +282,9 @@
 
 func (o *Owner) send(draw Draw) (Grant, bool) {
 	o.mu.Lock()
-	shard, ok := shardInZone(o.index, draw.Workspace, draw.LenderZone)
+	index := o.index
 	o.mu.Unlock()
-	if !ok {
-		return Grant{}, false
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
-	defer cancel()
-	answer, err := o.config.Peers.Draw(ctx, drawToProto(draw, shard))
-	if err != nil || answer.GetNotOwner() {
-		return Grant{}, false
-	}
-	return grantFromProto(answer), true
+	return sendDraw(o.config.Peers, index, draw, peerTimeout)
 }
 
 // scheduleReports schedules reports to lenders of other zones on spent and idle tokens.
--- a/share/peers.go
+++ b/share/peers.go
@@ -27,3 +27,19 @@
 	}
 	return OwnerShard(workspace, z.Shards), true
 }
+
+// sendDraw sends a draw to the shard of its workspace in the lender's zone. It returns
+// false if the zone has no shards, or if no owner of the shard answers within the timeout.
+func sendDraw(peers Peers, index *bundle.Index, draw Draw, timeout time.Duration) (Grant, bool) {
+	shard, ok := shardInZone(index, draw.Workspace, draw.LenderZone)
+	if !ok {
+		return Grant{}, false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	answer, err := peers.Draw(ctx, drawToProto(draw, shard))
+	if err != nil || answer.GetNotOwner() {
+		return Grant{}, false
+	}
+	return grantFromProto(answer), true
+}
