--- a/commitment/journal.go
+++ b/commitment/journal.go
@@ -1,6 +1,9 @@
 package commitment
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // The defaults of JournalConfig.
 const (
@@ -31,14 +34,12 @@
 }
 
 func (t JournalConfig) withDefaults() JournalConfig {
-	setDefault(&t.CoverAhead, defaultCoverAhead)
-	setDefault(&t.WriteInterval, defaultWriteInterval)
-	setDefault(&t.WriteTimeout, defaultWriteTimeout)
-	setDefault(&t.Backoff, defaultBackoff)
-	setDefault(&t.Retention, defaultJournalRetention)
-	if t.MaxBytes == 0 {
-		t.MaxBytes = defaultMaxJournalBytes
-	}
+	t.CoverAhead = cmp.Or(t.CoverAhead, defaultCoverAhead)
+	t.WriteInterval = cmp.Or(t.WriteInterval, defaultWriteInterval)
+	t.WriteTimeout = cmp.Or(t.WriteTimeout, defaultWriteTimeout)
+	t.Backoff = cmp.Or(t.Backoff, defaultBackoff)
+	t.Retention = cmp.Or(t.Retention, defaultJournalRetention)
+	t.MaxBytes = cmp.Or(t.MaxBytes, defaultMaxJournalBytes)
 	return t
 }
 
--- a/commitment/limits.go
+++ b/commitment/limits.go
@@ -1,6 +1,9 @@
 package commitment
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // The defaults of Limits.
 const (
@@ -37,27 +40,17 @@
 }
 
 func (t Limits) withDefaults() Limits {
-	setDefault(&t.Retention, defaultRetention)
-	setDefault(&t.ClockSkew, defaultClockSkew)
-	setDefault(&t.MaxAhead, defaultMaxAhead)
-	setDefault(&t.LayoutDelay, defaultLayoutDelay)
-	setDefault(&t.PermissionTTL, defaultPermissionTTL)
-	setDefault(&t.RunTimeout, defaultRunTimeout)
-	if t.MaxAnswerBytes == 0 {
-		t.MaxAnswerBytes = defaultMaxAnswerBytes
-	}
-	if t.MaxRecords == 0 {
-		t.MaxRecords = defaultMaxRecords
-	}
+	t.Retention = cmp.Or(t.Retention, defaultRetention)
+	t.ClockSkew = cmp.Or(t.ClockSkew, defaultClockSkew)
+	t.MaxAhead = cmp.Or(t.MaxAhead, defaultMaxAhead)
+	t.LayoutDelay = cmp.Or(t.LayoutDelay, defaultLayoutDelay)
+	t.PermissionTTL = cmp.Or(t.PermissionTTL, defaultPermissionTTL)
+	t.RunTimeout = cmp.Or(t.RunTimeout, defaultRunTimeout)
+	t.MaxAnswerBytes = cmp.Or(t.MaxAnswerBytes, defaultMaxAnswerBytes)
+	t.MaxRecords = cmp.Or(t.MaxRecords, defaultMaxRecords)
 	return t
 }
 
-func setDefault(d *time.Duration, fallback time.Duration) {
-	if *d == 0 {
-		*d = fallback
-	}
-}
-
 // takeoverMargin is how far after an owner's start, by the owner's clock, a key
 // must have been created so that no predecessor can have seen it. The clocks of
 // the predecessor and the owner may both be off, and keys may be created ahead of
--- a/commitment/writer.go
+++ b/commitment/writer.go
@@ -87,7 +87,7 @@
 	}
 	w.owner.mu.Lock()
 	defer w.owner.mu.Unlock()
-	w.running = w.handleResult(err) && w.pending && w.owner.shards[w.shard.ledger.config.ShardID.Shard] == w.shard
+	w.running = w.handleResult(err) && w.pending && w.isOwned()
 	return w.running
 }
 
@@ -115,18 +115,23 @@
 	w.finishWaiters(w.waiters, false)
 	w.waiters = nil
 	w.owner.config.Log.Warn("commitment: journal not written", zap.Error(err),
-		zap.String("zone", w.shard.ledger.config.ShardID.Zone), zap.Int("shard", w.shard.ledger.config.ShardID.Shard))
+		zap.String("zone", w.shardID().Zone), zap.Int("shard", w.shardID().Shard))
 	time.AfterFunc(w.journal.config.Backoff, w.retryWrite)
 }
 
 func (w *writer) retryWrite() {
 	w.owner.mu.Lock()
 	defer w.owner.mu.Unlock()
-	if w.owner.shards[w.shard.ledger.config.ShardID.Shard] == w.shard {
+	if w.isOwned() {
 		w.schedule()
 	}
 }
 
+func (w *writer) shardID() ShardID { return w.shard.ledger.config.ShardID }
+
+// isOwned reports whether the ownership that the writer writes for has not ended.
+func (w *writer) isOwned() bool { return w.owner.shards[w.shardID().Shard] == w.shard }
+
 func (w *writer) finishWaiters(waiters []*waiter, ok bool) {
 	for _, waiting := range waiters {
 		waiting.ok = ok
@@ -195,7 +200,7 @@
 	// Read before the lease is checked, so that a pause after the check cannot
 	// make it later.
 	now := w.owner.config.Now()
-	if w.owner.liveShard(w.shard.ledger.config.ShardID.Shard) != w.shard {
+	if w.owner.liveShard(w.shardID().Shard) != w.shard {
 		w.owner.mu.Unlock()
 		return errLapsed.New("the lease of the shard is not live")
 	}
