--- a/directory/link_choice.go
+++ b/directory/link_choice.go
@@ -11,44 +11,65 @@
 	"auburngap/peer/peerpb"
 )
 
+// nodeLink is one of the links by which a node announces itself.
+type nodeLink struct {
+	d     *Directory
+	index int
+	// source is that of the last connection that has sent a full listing; listedBy is its
+	// relay, and listedUntil when it ended.
+	source      Source
+	listedBy    string
+	listedUntil time.Time
+	wasRelay    bool
+}
+
 // runNodeLink keeps one of the links by which the node announces itself. The
 // wait between attempts does not grow, because relays that fail are skipped for
-// a while. Each connection has its own source, as in runMeshLink. What the last one
-// listed is dropped once the link has been down for ZoneTimeout while another
-// link's relay answers; without that, it is the best that the node knows.
+// a while.
 func (d *Directory) runNodeLink(ctx context.Context, i int) error {
-	source, listedBy, wasRelay := d.newSource(), "", false
-	upAt := time.Now()
+	n := &nodeLink{d: d, index: i, source: d.newSource(), listedUntil: time.Now()}
 	for ; ctx.Err() == nil; d.pauseLink(ctx) {
 		asRelay := d.isRelay()
-		if asRelay && !wasRelay {
-			d.retire(source)
-			source = d.newSource()
-		}
-		wasRelay = asRelay
-		if time.Since(upAt) >= d.config.Timing.ZoneTimeout && d.isConnected() {
-			d.dropSource(source)
-			upAt = time.Now()
-		}
-		relay, ok := d.chooseRelay(time.Now(), i)
-		if !ok {
-			continue
-		}
-		l := &link{
-			d: d, relay: relay, role: peerpb.Role_ROLE_NODE, source: d.newSource(), previous: source,
-			previousRelay: listedBy, index: i, asRelay: asRelay,
+		n.dropOutdated(asRelay)
+		if relay, ok := d.chooseRelay(time.Now(), i); ok {
+			n.follow(ctx, relay, asRelay)
 		}
-		began := time.Now()
-		_, err := l.run(ctx)
-		if source = d.sourceAfter(l, source); source == l.source {
-			listedBy, upAt = relay.VM, time.Now()
-		}
-		d.endNodeLink(i, relay, errorx.IsOfType(err, errMoved) || time.Since(began) >= minLinkTime)
-		d.logger.Debug("directory: link ended", zap.String("relay", relay.VM), zap.Error(err))
 	}
 	return nil
 }
 
+// dropOutdated drops what the last connection listed if the node has become a relay, or
+// once the link has been down for ZoneTimeout while another link's relay answers. Without
+// such an answer, it is the best that the node knows.
+func (n *nodeLink) dropOutdated(asRelay bool) {
+	d := n.d
+	if asRelay && !n.wasRelay {
+		d.retire(n.source)
+		n.source = d.newSource()
+	}
+	n.wasRelay = asRelay
+	if time.Since(n.listedUntil) >= d.config.Timing.ZoneTimeout && d.isConnected() {
+		d.dropSource(n.source)
+		n.listedUntil = time.Now()
+	}
+}
+
+// follow runs a connection to a relay. Each has its own source, as in runMeshLink.
+func (n *nodeLink) follow(ctx context.Context, relay Relay, asRelay bool) {
+	d := n.d
+	l := &link{
+		d: d, relay: relay, role: peerpb.Role_ROLE_NODE, source: d.newSource(), previous: n.source,
+		previousRelay: n.listedBy, index: n.index, asRelay: asRelay,
+	}
+	began := time.Now()
+	_, err := l.run(ctx)
+	if n.source = d.sourceAfter(l, n.source); n.source == l.source {
+		n.listedBy, n.listedUntil = relay.VM, time.Now()
+	}
+	d.endNodeLink(n.index, relay, errorx.IsOfType(err, errMoved) || time.Since(began) >= minLinkTime)
+	d.logger.Debug("directory: link ended", zap.String("relay", relay.VM), zap.Error(err))
+}
+
 func (d *Directory) pauseLink(ctx context.Context) {
 	retry := d.config.Timing.Retry
 	sleep(ctx, retry/2+jitter(retry/2))
