Test confirmations by a relay that holds a newer version

TestConfirmedWithoutVersion has a zone without the platform; this one has a version that the zone has not released, and one that did not reach the node.

--- a/directory/confirmed_test.go
+++ b/directory/confirmed_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"auburngap/peer/peerpb"
 )
 
 // TestConfirmedWithoutVersion guards against a node that counts its bundle as confirmed by
@@ -37,3 +39,34 @@
 		})
 	})
 }
+
+// TestConfirmedByRelayAhead guards against a node that counts its bundle as confirmed by a
+// relay that holds a newer one: one that its zone has not released, or that did not reach
+// the node.
+func TestConfirmedByRelayAhead(t *testing.T) {
+	cases := map[string]struct {
+		versions  *peerpb.BundleVersions
+		confirmed bool
+	}{
+		"the same version":      {&peerpb.BundleVersions{Held: 5, Released: 5, WordAgeMicros: 1}, true},
+		"newer, not released":   {&peerpb.BundleVersions{Held: 6, Released: 5, WordAgeMicros: 1}, false},
+		"newer, did not arrive": {&peerpb.BundleVersions{Held: 6, Released: 6, WordAgeMicros: 1}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				defer onOneThread()()
+				node, stop := runScripted(t, 1)
+				defer stop()
+				node.bundles.highest.Store(5)
+				node.directory.SetServices([]string{"orders"})
+				stream := node.joinOne(t)
+				assert.NilError(t, stream.Send(&peerpb.DirectoryFrame{Frame: &peerpb.DirectoryFrame_Versions{Versions: c.versions}}))
+				time.Sleep(time.Second)
+				assert.Equal(t, !node.directory.ConfirmedAt().IsZero(), c.confirmed)
+				node.bundles.highest.Store(6)
+				assert.Assert(t, !node.directory.ConfirmedAt().IsZero())
+			})
+		})
+	}
+}
--- a/directory/restart_test.go
+++ b/directory/restart_test.go
@@ -57,6 +57,7 @@
 // scriptedNode is a node whose relays are played by the test.
 type scriptedNode struct {
 	directory *directory.Directory
+	bundles   *sink
 	counts    *targetCounts
 	relays    scriptedRelay
 }
@@ -69,10 +70,10 @@
 		_, err := service.Put(t.Context(), kv.PutRequest{Key: fmt.Sprintf("zones/a/relays/%d", i), Value: slot})
 		assert.NilError(t, err)
 	}
-	node = &scriptedNode{counts: &targetCounts{services: make(map[string][]int)}, relays: make(scriptedRelay, 1)}
+	node = &scriptedNode{bundles: &sink{}, counts: &targetCounts{services: make(map[string][]int)}, relays: make(scriptedRelay, 1)}
 	node.directory = directory.New(directory.Config{
 		VM: "vm", Zone: "a", Address: netip.MustParseAddrPort("127.0.0.1:1"), Platform: service, Peers: node.relays,
-		Bundles: &sink{}, Source: source{service}, OnTargets: node.counts.onTargets, Logger: zap.NewNop(),
+		Bundles: node.bundles, Source: source{service}, OnTargets: node.counts.onTargets, Logger: zap.NewNop(),
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error)
