Report no version of a node's earlier process

A relay reports, for the operators' status, the version that each node's last heartbeat named. The announcement of a new process of the VM kept that of the one before until its first heartbeat (2 s): status named a version in force at a node that had none yet. A new incarnation now begins without one.

TestVersionOfRestartedNode failed before (7 instead of 0) and passes; ./directory passes (11.4 s).

--- a/directory/state.go
+++ b/directory/state.go
@@ -91,6 +91,9 @@
 	if newer {
 		r.demoteSources(&e)
 	}
+	if e.Incarnation != r.entry.Incarnation {
+		r.bundleVersion = 0
+	}
 	changed := newer || !r.direct
 	r.direct, r.everDirect, r.lastHeartbeat = true, true, now
 	s.direct[e.VM] = r
--- a/directory/state_test.go
+++ b/directory/state_test.go
@@ -296,3 +296,26 @@
 	assert.Equal(t, len(s.Targets("orders")), 0)
 	assert.DeepEqual(t, s.ChangesSince(listedAt, nodeFilter).Gone, []string{earlier.VM})
 }
+
+// TestVersionOfRestartedNode guards against a relay that reports the version that the
+// earlier process of a VM had in force as that of the process which has just started.
+func TestVersionOfRestartedNode(t *testing.T) {
+	s := directory.NewState(directory.StateConfig{Zone: "a"})
+	node := makeEntry(1, "orders")
+	announce := func() {
+		_, ok := s.ApplyAnnouncement(start, node)
+		assert.Assert(t, ok)
+	}
+	announce()
+	beat := heartbeatOf(node)
+	beat.BundleVersion = 7
+	_, ok := s.ApplyHeartbeat(start, node.VM, beat)
+	assert.Assert(t, ok)
+
+	node.Sequence++
+	announce()
+	assert.Equal(t, s.BundleVersions()[node.VM], uint64(7))
+	node.Incarnation++
+	announce()
+	assert.Equal(t, s.BundleVersions()[node.VM], uint64(0))
+}
