--- a/directory/link_receive.go
+++ b/directory/link_receive.go
@@ -95,7 +95,11 @@
 		return
 	}
 	l.awaitingListing = false
-	l.d.subscription.recordAnswer(l.index, l.subscribed)
+	if starting {
+		l.d.subscription.recordStartingAnswer(l.index, l.subscribed, now)
+	} else {
+		l.d.subscription.recordAnswer(l.index, l.subscribed)
+	}
 	l.d.wake()
 }
 
@@ -120,7 +124,7 @@
 
 // applyVersions applies the bundle versions that the relay reports.
 func (l *link) applyVersions(m *peerpb.BundleVersions) {
-	l.d.applyConfirmationAge(m.GetWordAgeMicros())
+	l.d.applyConfirmationAge(m)
 	switch l.role {
 	case peerpb.Role_ROLE_NODE:
 		l.d.setAnswered(l.index, true)
