Pass on each removal that a node's source did not see itself

Cause: a node that had listed the service knew no removal from before, and ignored the removal of a key that it did not hold. A node that queried it with an earlier revision got its changes without these removals, took over its revision and confirmation, and kept the entry of a node that had left until that VM published again. The same held for an answer of a node that was behind, when it arrived after a list of the service: it brought back an entry that had been removed in between.

Change: a whole delta raises the revision below which queries are answered with all entries; removals of unknown keys are kept for queries; that revision never goes down; and an entry of an older delta that the mirror would hold is not added.

The tables in mirror_test.go failed before in each case.

--- a/roster/mirror.go
+++ b/roster/mirror.go
@@ -34,9 +34,11 @@
 	memberPrefix string
 	revision     kv.Revision
 	entries      map[string]kv.Entry
-	// tombstones holds the latest removals, oldest first.
+	// tombstones holds the latest removals, also of keys that the mirror never held, in the
+	// order in which they were learned of.
 	tombstones []kv.Entry
-	// tombstoneFloor is the revision up to which tombstones may have been dropped.
+	// tombstoneFloor is the revision up to which removals may be missing: dropped, or before
+	// a whole delta, which names none.
 	tombstoneFloor kv.Revision
 	// decoded caches the members that entries describe, by key.
 	decoded map[string]decodedMember
@@ -82,27 +84,31 @@
 func (m *Mirror) Apply(now time.Duration, delta Delta) bool {
 	changed := false
 	for _, entry := range delta.Entries {
-		changed = m.applyEntry(now, entry) || changed
+		changed = m.applyEntry(now, entry, delta.Revision) || changed
 	}
 	if delta.Whole {
 		changed = m.removeUnlisted(now, delta) || changed
+		m.tombstoneFloor = max(m.tombstoneFloor, delta.Revision)
 	}
 	m.revision = max(m.revision, delta.Revision)
 	return changed
 }
 
-func (m *Mirror) applyEntry(now time.Duration, entry kv.Entry) bool {
+// applyEntry applies an entry of a delta of the given revision.
+func (m *Mirror) applyEntry(now time.Duration, entry kv.Entry, revision kv.Revision) bool {
 	known, ok := m.entries[entry.Key]
 	if ok && known.Revision >= entry.Revision {
 		return false
 	}
+	if entry.Deleted && !ok {
+		m.addTombstone(entry.Key, entry.Revision) // a node that queries this one may have it
+		return false
+	}
 	if entry.Deleted {
-		if ok {
-			m.remove(now, known, entry.Revision)
-		}
-		return ok
+		m.remove(now, known, entry.Revision)
+		return true
 	}
-	if m.isRemovedAfter(entry) {
+	if !ok && m.isRemovedAfter(entry, revision) {
 		return false
 	}
 	m.entries[entry.Key] = m.trimmed(entry)
@@ -134,9 +140,13 @@
 	return entry
 }
 
-// isRemovedAfter reports whether the key of an entry was removed after the entry was
-// written.
-func (m *Mirror) isRemovedAfter(entry kv.Entry) bool {
+// isRemovedAfter reports whether the key of an entry, which the mirror does not hold, was
+// removed after the entry was written. The entry is one of a delta of the given revision: if
+// the mirror knows all changes beyond both revisions, it would hold the entry otherwise.
+func (m *Mirror) isRemovedAfter(entry kv.Entry, revision kv.Revision) bool {
+	if revision < m.revision && entry.Revision <= m.revision {
+		return true
+	}
 	return slices.ContainsFunc(m.tombstones, func(r kv.Entry) bool {
 		return r.Key == entry.Key && r.Revision > entry.Revision
 	})
@@ -162,9 +172,17 @@
 func (m *Mirror) remove(now time.Duration, entry kv.Entry, revision kv.Revision) {
 	delete(m.entries, entry.Key)
 	m.lapsed[entry.Key] = lapsedMember{entry: entry, until: now + lapsedMemberTTL}
-	m.tombstones = append(m.tombstones, kv.Entry{Key: entry.Key, Revision: revision, Deleted: true})
+	m.addTombstone(entry.Key, revision)
+}
+
+func (m *Mirror) addTombstone(key string, revision kv.Revision) {
+	isKnown := func(r kv.Entry) bool { return r.Key == key && r.Revision >= revision }
+	if slices.ContainsFunc(m.tombstones, isKnown) {
+		return
+	}
+	m.tombstones = append(m.tombstones, kv.Entry{Key: key, Revision: revision, Deleted: true})
 	if len(m.tombstones) > maxTombstones {
-		m.tombstoneFloor = m.tombstones[0].Revision
+		m.tombstoneFloor = max(m.tombstoneFloor, m.tombstones[0].Revision)
 		m.tombstones = slices.Delete(m.tombstones, 0, 1)
 	}
 }
--- a/roster/mirror_test.go
+++ b/roster/mirror_test.go
@@ -95,3 +95,62 @@
 		assert.Assert(t, len(entry.Value) <= maxMemberBytes+1, "%s is kept with %d bytes", entry.Key, len(entry.Value))
 	}
 }
+
+// TestSourceNamesEachRemoval: a node kept the entry of a node that had left, and believed
+// that its view was up to date. Its source had listed the service after the removal, so it
+// knew neither the entry nor that it was removed.
+func TestSourceNamesEachRemoval(t *testing.T) {
+	lists := func(revision kv.Revision, entries ...kv.Entry) Delta {
+		return Delta{Whole: true, Revision: revision, Entries: entries}
+	}
+	cases := map[string]struct {
+		source []Delta
+		// revision is that of the view that holds online/b, of revision 5.
+		revision kv.Revision
+	}{
+		"source has started since":         {[]Delta{lists(9, entry("online/a", 1))}, 6},
+		"source has listed again":          {[]Delta{lists(3, entry("online/a", 1)), lists(9, entry("online/a", 1))}, 6},
+		"removed between two pages":        {[]Delta{lists(6, entry("online/a", 1)), {Revision: 9, Entries: []kv.Entry{removed("online/b", 8)}}}, 6},
+		"removed while the source started": {[]Delta{lists(7, entry("online/a", 1)), {Revision: 9, Entries: []kv.Entry{removed("online/b", 8)}}}, 7},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			source, view := NewMirror("online/"), NewMirror("online/")
+			for _, delta := range c.source {
+				source.Apply(0, delta)
+			}
+			view.Apply(0, lists(c.revision, entry("online/a", 1), entry("online/b", 5)))
+			view.Apply(0, source.Since(view.Revision()))
+			assert.Equal(t, view.Revision(), kv.Revision(9))
+			_, ok := view.Entry("online/b")
+			assert.Assert(t, !ok, "the removed entry is kept")
+		})
+	}
+}
+
+// TestOverflowingTombstones has a source forget removals. Removals that it hears of later
+// may be older, as those that another node names; a view must still get each removal.
+func TestOverflowingTombstones(t *testing.T) {
+	const newer, older = 9000, 5000
+	source, view := NewMirror("online/"), NewMirror("online/")
+	source.Apply(0, Delta{Whole: true, Revision: 1, Entries: []kv.Entry{entry("online/a", 1)}})
+	source.Apply(0, Delta{Revision: newer, Entries: []kv.Entry{removed("online/a", newer)}})
+	for i := range kv.Revision(maxTombstones + 1) {
+		key := fmt.Sprint("online/vm-", i)
+		source.Apply(0, Delta{Revision: newer, Entries: []kv.Entry{entry(key, older+2*i), removed(key, older+2*i+1)}})
+	}
+	view.Apply(0, Delta{Whole: true, Revision: newer - 1, Entries: []kv.Entry{entry("online/a", 1)}})
+	view.Apply(0, source.Since(view.Revision()))
+	_, ok := view.Entry("online/a")
+	assert.Assert(t, !ok, "the removed entry is kept")
+}
+
+// TestLateAnswerKeepsRemoval: the answer of a node that was behind arrived after a list of
+// the service, and brought back an entry that had been removed in between.
+func TestLateAnswerKeepsRemoval(t *testing.T) {
+	view := NewMirror("online/")
+	view.Apply(0, Delta{Whole: true, Revision: 4, Entries: []kv.Entry{entry("online/a", 1)}})
+	view.Apply(0, Delta{Whole: true, Revision: 9, Entries: []kv.Entry{entry("online/a", 1)}})
+	changed := view.Apply(0, Delta{Revision: 6, Entries: []kv.Entry{entry("online/b", 5)}})
+	assert.Assert(t, !changed, "the removed entry is back")
+}
