Halve the wait of a watch, so that a slow reader is noticed in time

What a caller sees: a configuration in force after more than 2 s at nodes that reach the key-value service themselves.

Cause: a node judges its source by how long its view has gone without a later confirmation, not by the age of that. A watch confirms only what was known when it began, so that in calm a healthy view is up to 2.1 s old. A reader that gets the service's answers 1.0 to 1.3 s late, while changes keep ending its watches, stays below the 1.3 s after which it is suspect; its view is 2.3 s old, and the zone accepts up to 3 s. Readers that query each other add their ages up in the same way, each small advance starting the time anew.

Change: a watch waits 0.5 s in place of 1 s, so that a read is overdue after 0.8 s. That costs each reader 1.8 calls a second in calm in place of 0.94. Ruled out: also bounding the age of a view, with waits of 1 s.

--- a/roster/confirmation_test.go
+++ b/roster/confirmation_test.go
@@ -28,6 +28,8 @@
 	// siteTime is how long a site is simulated, and checkStep the time between two checks.
 	siteTime  = 60 * time.Second
 	checkStep = 100 * time.Millisecond
+	// settleTime is how long a node must have been healthy before the bound holds for it.
+	settleTime = 2 * time.Second
 )
 
 // sites is the number of sites that TestSiteConfirmation simulates; their seeds begin at zero.
@@ -66,12 +68,13 @@
 
 // siteProcess is one run of a node of a simulated site.
 type siteProcess struct {
-	site     *simulatedSite
-	number   int
-	address  netip.AddrPort
-	follower *Follower
-	end      context.CancelFunc
-	fault    *siteFault
+	site         *simulatedSite
+	number       int
+	address      netip.AddrPort
+	follower     *Follower
+	end          context.CancelFunc
+	fault        *siteFault
+	healthySince time.Time
 }
 
 // simulatedSite is a site in simulated time whose nodes restart and have faults.
@@ -128,7 +131,7 @@
 	defer s.mu.Unlock()
 	s.addresses++
 	p := &siteProcess{
-		site: s, number: number,
+		site: s, number: number, healthySince: time.Now(),
 		address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), 7000+s.addresses),
 	}
 	p.follower = NewFollower(FollowerConfig{
@@ -283,6 +286,9 @@
 	case 11:
 		s.mu.Lock()
 		s.rejectsAll = !s.rejectsAll && s.random.IntN(3) == 0
+		for _, node := range s.nodes {
+			node.healthySince = time.Now()
+		}
 		s.mu.Unlock()
 	}
 }
@@ -294,13 +300,16 @@
 	if p.fault != nil && p.fault.resumed != nil {
 		close(p.fault.resumed)
 	}
-	p.fault = fault
+	p.fault, p.healthySince = fault, time.Now()
 }
 
 // check checks what the views of all nodes say of themselves.
 func (s *simulatedSite) check() {
 	for _, p := range s.nodes {
 		s.checkConfirmed(p)
+		if p.fault == nil && !s.rejectsAll {
+			s.checkInTime(p)
+		}
 	}
 }
 
@@ -337,6 +346,17 @@
 	return false
 }
 
+// checkInTime checks that a healthy node knows each configuration in time.
+func (s *simulatedSite) checkInTime(p *siteProcess) {
+	known, _ := p.follower.Entry(configKey)
+	for _, write := range s.writes {
+		isDue := time.Since(write.at) > maxPropagationTime && write.at.Sub(p.healthySince) > settleTime
+		if write.entry.Key == configKey && isDue && known.Revision < write.entry.Revision {
+			s.t.Errorf("%s at %v: has the configuration at %d, not the one at %d, written %v ago", vmName(p.number), time.Since(s.startAt), known.Revision, write.entry.Revision, time.Since(write.at))
+		}
+	}
+}
+
 // TestSiteConfirmation: a node believed that its view was up to date and did not have a
 // configuration or a removal that was older. Random sites restart, suspend, drain and cut
 // off their nodes, lose answers and have the service turn nodes away.
--- a/roster/propagation_test.go
+++ b/roster/propagation_test.go
@@ -27,8 +27,8 @@
 	// roundTrip is the time of a query or a read of the service.
 	roundTrip = 10 * time.Millisecond
 	// watchWait and watchTimeout are those of a watch of the service.
-	watchWait    = time.Second
-	watchTimeout = 2 * time.Second
+	watchWait    = 500 * time.Millisecond
+	watchTimeout = 1500 * time.Millisecond
 	// leadStep is the step of the times from the beginning of a fault to the write of the
 	// configuration.
 	leadStep = 250 * time.Millisecond
@@ -226,3 +226,40 @@
 		}
 	}
 }
+
+// TestSlowServiceDelaysHealthyNode: both readers of a zone got the service's answers late,
+// but not late enough to suspect their views, as changes kept ending their reads. The other
+// nodes accepted those views although they could reach the service, and were behind.
+func TestSlowServiceDelaysHealthyNode(t *testing.T) {
+	const interval, step, writes = 100 * time.Millisecond, 5 * time.Millisecond, 80
+	for delay := 100 * time.Millisecond; delay < 2*time.Second; delay += 100 * time.Millisecond {
+		t.Run(delay.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				z := startSimulatedZone(t, ctx)
+				z.faults.Store(&[simulatedNodes]nodeFault{{serviceAnswersAfter: delay}, {serviceAnswersAfter: delay}})
+				var known, written kv.Entry
+				var writtenAt []time.Time
+				longest := time.Duration(0)
+				for len(writtenAt) < writes {
+					var err error
+					written, err = z.service.Put(ctx, kv.PutRequest{Key: configKey, Value: fmt.Append(nil, len(writtenAt)), IfRevision: written.Revision})
+					assert.NilError(t, err)
+					writtenAt = append(writtenAt, time.Now())
+					for range interval / step {
+						time.Sleep(step)
+						known, _ = z.followers[simulatedNodes-1].Entry(configKey)
+						if behind := int(written.Revision - known.Revision); known.Revision > 0 && behind > 0 {
+							longest = max(longest, time.Since(writtenAt[len(writtenAt)-behind]))
+						}
+					}
+				}
+				t.Logf("%v", longest)
+				assert.Check(t, known.Revision > 0 && longest < maxPropagationTime, "%v", longest)
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
