Ask a zone's owner again while owners of other zones do not answer

Callers see: requests within the rate refused (429, not run) after a wait of 1.9 s, in a zone that is cut off, with few requests served besides.

Cause: an owner that left a draw unanswered for 300 ms is not asked again for 250 ms, and twice as long each further time. The other zones are asked in turn meanwhile, each for 300 ms. Beside a cut none of them answers, so that after two unanswered draws (with two zones; after one with eleven) the time in which requests wait for owners ended before the own zone's owner was asked again, although it answered by then.

Change: while no owner has answered, the one in the node's zone is asked again after each owner of another zone that does not answer.

--- a/share/balance.go
+++ b/share/balance.go
@@ -106,6 +106,10 @@
 	lendersTried int
 	// answered is true once one of them has said how many tokens it has left.
 	answered bool
+	// retryLocal is set if the next draw goes to the owner in the node's zone before its
+	// backoff has elapsed: an owner of another zone did not answer, and none has in this
+	// round.
+	retryLocal bool
 	// unresponsive is active while no owner can say how many tokens it has left.
 	unresponsive unresponsivePeriod
 	// retryAt is when owners may be asked again.
--- a/share/token_cache.go
+++ b/share/token_cache.go
@@ -123,10 +123,15 @@
 
 // chooseLender returns the zone to ask, and whether its owner has to collect
 // tokens from the other zones. The order is the node's zone, then the collector
-// if there is one. While these do not answer, the other zones are asked in turn.
+// if there is one. While these do not answer, the other zones are asked in turn, and
+// the node's zone again after each of them that does not answer either.
 func (c *TokenCache) chooseLender(b *balance, now time.Duration) (zone string, collect bool) {
-	b.lendersTried++
 	elsewhere := c.hasRemoteCollector(b, now)
+	if b.retryLocal {
+		b.retryLocal = false
+		return c.zone, !elsewhere
+	}
+	b.lendersTried++
 	if b.lendersTried == 1 && b.localBackoff.elapsed(now) || len(c.zones) == 1 {
 		return c.zone, !elsewhere
 	}
@@ -182,13 +187,16 @@
 	}
 	b.pending = 0
 	b.unresponsive.begin(b.askedAt)
-	if b.pendingZone == c.zone {
+	switch {
+	case b.pendingZone == c.zone:
 		b.localBackoff.increase(now)
-	} else if b.pendingCollect {
+	case b.pendingCollect:
 		// The owner in the node's zone collects instead.
 		b.collectorBackoff.increase(now)
 		b.endRound()
 		return true
+	default:
+		b.retryLocal = !b.answered
 	}
 	return c.tryNext(b, firstBackoff, now)
 }
