Part the pool's entries and control messages from the pool

pool.go held the pool, the state of one session in it, and how a control message is sent and answered. The entry is in pool_entry.go now, with the times of its dials, and Ask in ask.go. Behaviour is unchanged: the code is moved. Tests of peer pass with the race detector.

--- a/peer/pool.go
+++ b/peer/pool.go
@@ -7,19 +7,12 @@
 	"net"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
-	"google.golang.org/protobuf/proto"
 )
 
 const (
-	// redialDelay is the time after a failed dial until the next one is tried.
-	redialDelay = 200 * time.Millisecond
-	// redialTimeout bounds the wait for a dial after a failed dial or an ended
-	// session: the node may be cut off, and another one may take the call.
-	redialTimeout = 100 * time.Millisecond
 	// defaultSessions is the default of PoolConfig.Sessions.
 	defaultSessions = 128
 	// controlKeepTime is how long a session is kept after a control message was sent
@@ -57,25 +50,6 @@
 	closed       bool
 }
 
-// poolEntry is the session to one address; dialled is closed when its dial ends.
-type poolEntry struct {
-	address  netip.AddrPort
-	session  *Session
-	err      error
-	failedAt time.Time
-	dialled  chan struct{}
-	// redial is set if an earlier dial failed or an earlier session ended.
-	redial bool
-
-	// element is the entry's element in Pool.recent.
-	element *list.Element
-	// users counts the callers that are about to use the session. It is incremented
-	// only under the pool's lock.
-	users atomic.Int64
-	// lastControl is when the session was last requested for a control message.
-	lastControl time.Time
-}
-
 // NewPool returns an empty pool.
 func NewPool(config PoolConfig) *Pool {
 	if config.Sessions == 0 {
@@ -144,28 +118,6 @@
 	return entry, nil
 }
 
-// wait returns an error if the dial has failed or not ended in time.
-func (e *poolEntry) wait(ctx context.Context) error {
-	select {
-	case <-e.dialled:
-		return e.err
-	default:
-	}
-	if e.redial {
-		bounded, cancel := context.WithTimeout(ctx, redialTimeout)
-		defer cancel()
-		ctx = bounded
-	}
-	select {
-	case <-e.dialled:
-		return e.err
-	case <-ctx.Done():
-		return ErrUnreachable.Wrap(ctx.Err(), "dial %s", e.address)
-	}
-}
-
-func (e *poolEntry) release() { e.users.Add(-1) }
-
 // entry returns the live entry of an address, with its user counted, and
 // whether the caller has to dial.
 func (p *Pool) entry(address netip.AddrPort, control bool) (*poolEntry, bool, error) {
@@ -194,20 +146,6 @@
 	return entry, created, nil
 }
 
-// isUsable reports whether the entry needs no new dial: it is being dialled, its
-// session is open, or its last dial failed less than redialDelay ago.
-func (e *poolEntry) isUsable(now time.Time) bool {
-	select {
-	case <-e.dialled:
-	default:
-		return true
-	}
-	if e.err != nil {
-		return now.Sub(e.failedAt) < redialDelay
-	}
-	return !e.session.IsClosed()
-}
-
 func (p *Pool) dial(address netip.AddrPort, entry *poolEntry) {
 	defer close(entry.dialled)
 	session, err := p.connect(address)
@@ -272,29 +210,3 @@
 		}
 	}
 }
-
-// Ask sends one control message to the node at address and reads the reply.
-func Ask(ctx context.Context, p *Pool, address netip.AddrPort, kind Kind, message, reply proto.Message) error {
-	stream, err := p.OpenStream(ctx, address)
-	if err != nil {
-		return err
-	}
-	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(pastDeadline) })
-	defer stop()
-	defer func() { _ = stream.Close() }()
-
-	w := NewFrameWriter(stream)
-	defer w.Release()
-	if err := w.Add(kind, message); err != nil {
-		return err
-	}
-	if err := w.Flush(); err != nil {
-		return ErrBroken.Wrap(err, "send kind %d", kind)
-	}
-	reader := NewFrameReader(stream)
-	defer reader.Release()
-	if err := reader.Expect(KindReply, reply); err != nil {
-		return ErrBroken.Wrap(err, "reply to kind %d", kind)
-	}
-	return nil
-}
