Write over no revision of an earlier era that the view still has

What callers saw: nothing was reported of this. A live node stayed unlisted for as long as its view was of the era before.

Cause: the publisher prefers the revision of its entry in the node's view if that is the higher one. One of an earlier era never matches, nor does the store then take the write.

--- a/roster/publisher.go
+++ b/roster/publisher.go
@@ -268,7 +268,7 @@
 		p.lease = lease
 	}
 	revision := kv.Revision(p.revision.Load())
-	if known, ok := p.config.CurrentEntry(); ok && known.Revision > revision {
+	if known, ok := p.config.CurrentEntry(); ok && known.Revision > revision && known.Revision.Era() == p.era {
 		revision = known.Revision
 	}
 	put := kv.PutRequest{Key: p.config.Key, Value: []byte(value), IfRevision: revision, Lease: p.lease}
--- a/roster/publisher_era_test.go
+++ b/roster/publisher_era_test.go
@@ -233,3 +233,45 @@
 	_, err = service.Get(t.Context(), otherKey)
 	assert.ErrorContains(t, err, "no key", "another node's lease is renewed")
 }
+
+// TestPublisherOfOlderView guards against a live node that stays unlisted because its view is
+// still of the earlier era: the revision of its entry there is not that of any entry now.
+func TestPublisherOfOlderView(t *testing.T) {
+	service := kvfake.New(kvfake.Config{})
+	saved := service.Copy()
+	var known atomic.Pointer[kv.Entry]
+	publisher := NewPublisher(PublisherConfig{
+		Client: service,
+		Key:    ownKey,
+		Lease:  eraLease,
+		CurrentEntry: func() (kv.Entry, bool) {
+			if entry := known.Load(); entry != nil {
+				return *entry, true
+			}
+			return kv.Entry{}, false
+		},
+		Logger: zap.NewNop(),
+	})
+	done := make(chan error, 1)
+	ctx, stop := context.WithCancel(t.Context())
+	go func() { done <- publisher.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		assert.NilError(t, <-done)
+	})
+	publisher.Set(Member{VM: "vm-1", Address: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: "1"})
+	wait, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	assert.Assert(t, publisher.WaitConfirmed(wait))
+	entry, err := service.Get(t.Context(), ownKey)
+	assert.NilError(t, err)
+	known.Store(&entry)
+
+	service.Restore(saved)
+	before := service.Counts()
+	time.Sleep(5 * eraLease)
+	after := service.Counts()
+	t.Logf("%d writes, %d grants, %d reads", after.Put-before.Put, after.Grant-before.Grant, after.Get-before.Get)
+	_, err = service.Get(t.Context(), ownKey)
+	assert.NilError(t, err)
+}
