--- a/roster/publisher_era_test.go
+++ b/roster/publisher_era_test.go
@@ -275,3 +275,67 @@
 	_, err = service.Get(t.Context(), ownKey)
 	assert.NilError(t, err)
 }
+
+// cutClient is a client of a service that no call of it reaches once it is cut off.
+type cutClient struct {
+	*kvfake.Service
+	isCut atomic.Bool
+}
+
+func (c *cutClient) Era() kv.Era {
+	if c.isCut.Load() {
+		return 0
+	}
+	return c.Service.Era()
+}
+
+func (c *cutClient) Grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
+	if c.isCut.Load() {
+		return 0, kv.ErrUnavailable.New("cut off")
+	}
+	return c.Service.Grant(ctx, ttl)
+}
+
+func (c *cutClient) Renew(ctx context.Context, lease kv.LeaseID) error {
+	if c.isCut.Load() {
+		return kv.ErrUnavailable.New("cut off")
+	}
+	return c.Service.Renew(ctx, lease)
+}
+
+// TestCutOffPublisherOverDrill guards against a live node that is dropped because the service
+// came back from a copy, though the copy has its entry and lease: it is cut off from the
+// service, and other nodes no longer renew the lease for it.
+func TestCutOffPublisherOverDrill(t *testing.T) {
+	service := kvfake.New(kvfake.Config{})
+	client := &cutClient{Service: service}
+	publisher := NewPublisher(PublisherConfig{
+		Client:       client,
+		Key:          ownKey,
+		Lease:        eraLease,
+		CurrentEntry: func() (kv.Entry, bool) { return kv.Entry{}, false },
+		Renew: func(ctx context.Context, era kv.Era, lease kv.LeaseID) error {
+			return RenewInEra(ctx, service, era, lease) // as another node does
+		},
+		Logger: zap.NewNop(),
+	})
+	done := make(chan error, 1)
+	ctx, stop := context.WithCancel(t.Context())
+	go func() { done <- publisher.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		assert.NilError(t, <-done)
+	})
+	publisher.Set(Member{VM: "vm-1", Address: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: "1"})
+	wait, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	assert.Assert(t, publisher.WaitConfirmed(wait))
+	client.isCut.Store(true)
+	time.Sleep(2 * eraLease)
+	_, err := service.Get(t.Context(), ownKey)
+	assert.NilError(t, err, "before the service comes back from a copy")
+	service.Restore(service.Copy())
+	time.Sleep(2 * eraLease)
+	_, err = service.Get(t.Context(), ownKey)
+	assert.NilError(t, err)
+}
