--- a/backend/status_test.go
+++ b/backend/status_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -47,7 +48,7 @@
 	}
 	broken := []string{
 		"HTTP/1.1 000 OK\r\n", "HTTP/1.0 000 OK\r\n", "HTTP/1.1 000\r\n", "HTTP/1.1 000 \r\n",
-		"HTTP/1.1 000 OK\r\n" + testDialect.NotRun + ": 1\r\n",
+		"HTTP/1.1 000 OK\r\n" + testDialect.NotRun + ": 1\r\n", "HTTP/1.1 00 OK\r\n", "HTTP/1.1 0000 OK\r\n", "HTTP/1.1 0 OK\r\n",
 		"HTTP/1.1  000 OK\r\n", "HTTP/1.1    000 OK\r\n", "HTTP/1.1\t000 OK\r\n", "HTTP/1.1 \t000 OK\r\n",
 		"HTTP/1.1 000  OK\r\n", "HTTP/1.1 000\tOK\r\n", " HTTP/1.1 000 OK\r\n",
 		"\r\nHTTP/1.1 000 OK\r\n", "\nHTTP/1.1 000 OK\r\n", "\r\n\r\nHTTP/1.1 000 OK\r\n",
@@ -81,9 +82,12 @@
 	answer := "HTTP/1.1 200 OK\r\n" + testDialect.AttemptID + ": ATTEMPT\r\nContent-Length: 0\r\n\r\n"
 	for _, interim := range []string{
 		"HTTP/1.1  100 Continue\r\n\r\n", "\r\nHTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 1000 Continue\r\n\r\n",
+		"HTTP/1.1 000 Continue\r\n\r\n", "HTTP/1.1 000 \r\n\r\n", "HTTP/1.1 000\r\n\r\n", "HTTP/1.1 099 Continue\r\n\r\n",
+		"HTTP/1.1 000 Continue\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Continue\r\n\r\n",
 		"HTTP/1.1 100 Continue\n\r\n\r\n", "HTTP/3.7 100 Continue\r\n\r\n", "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+		strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 100),
 	} {
-		t.Run(fmt.Sprintf("%q", interim), func(t *testing.T) { checkBroken(t, interim+answer) })
+		t.Run(fmt.Sprintf("%.200q", interim), func(t *testing.T) { checkBroken(t, interim+answer) })
 	}
 }
 
--- a/kv/fake/broken_test.go
+++ b/kv/fake/broken_test.go
@@ -123,6 +123,7 @@
 	const ok, chunked = "HTTP/1.1 200 OK\r\n", "Transfer-Encoding: chunked\r\n"
 	broken := map[string]struct{ text, then string }{
 		"status 000":                              {"HTTP/1.1 000 OK\r\n" + length + "\r\n" + storeBody, "open"},
+		"status 000 as an interim response":       {"HTTP/1.1 000 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + length + "\r\n" + storeBody, "open"},
 		"status 000 behind blanks":                {"HTTP/1.1   000 OK\r\n" + length + "\r\n" + storeBody, "open"},
 		"status 000 behind an empty line":         {"\r\nHTTP/1.1 000 OK\r\n" + length + "\r\n" + storeBody, "open"},
 		"status 000 behind an interim response":   {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\n" + length + "\r\n" + storeBody, "open"},
