--- a/roster/publisher.go
+++ b/roster/publisher.go
@@ -22,9 +22,6 @@
 	renewalsPerTTL = 5
 	// publishRetryPause is the mean pause after a failed write.
 	publishRetryPause = 150 * time.Millisecond
-	// maxEraPause bounds the random pause before a node writes its entry in a new era of the
-	// service, since all nodes do so.
-	maxEraPause = 500 * time.Millisecond
 )
 
 // PublisherConfig configures a Publisher.
@@ -206,54 +203,6 @@
 	return false, nil
 }
 
-// latestEra returns the latest era of the service that is known, from its answers or from
-// the node's view.
-func (p *Publisher) latestEra() kv.Era {
-	return max(p.config.Client.Era(), kv.Era(p.viewEra.Load()))
-}
-
-// enterEra prepares to write the member again if the service has entered a new era, in which
-// its entry may be missing or older, and the lease may be another node's.
-func (p *Publisher) enterEra(ctx context.Context) error {
-	era := p.latestEra()
-	if era == p.era {
-		return nil
-	}
-	if p.lease != 0 {
-		clock.Sleep(ctx, rand.N(maxEraPause))
-		entry, err := p.config.Client.Get(ctx, p.config.Key)
-		if err != nil && !errorx.IsOfType(err, kv.ErrNotFound) {
-			return err
-		}
-		if p.config.Client.Era() != era {
-			return kv.ErrUnavailable.New("the service is in era %d, not %d", p.config.Client.Era(), era)
-		}
-		p.revision.Store(uint64(entry.Revision))
-		leaseStands := entry.Lease == p.lease && p.isConfirmed(entry)
-		if !leaseStands {
-			p.lease = 0
-		}
-		p.config.Logger.Info("roster: publishing again", zap.Uint32("era", uint32(era)), zap.Stringer("found", entry.Revision), zap.Bool("leaseStands", leaseStands))
-	}
-	p.era = era
-	p.mu.Lock()
-	p.rewrites++
-	p.mu.Unlock()
-	return nil
-}
-
-// isConfirmed reports whether an entry is one that the service has confirmed to this process.
-// Another one may have been written late, under a lease ID that was given out again.
-func (p *Publisher) isConfirmed(entry kv.Entry) bool {
-	var member Member
-	if err := json.Unmarshal(entry.Value, &member); err != nil {
-		return false
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return member.Incarnation == p.member.Incarnation && member.Sequence <= p.confirmed.sequence
-}
-
 // write replaces the entry at its last known revision, so that a write that takes
 // effect late, even one of an earlier process, cannot replace a newer entry.
 func (p *Publisher) write(ctx context.Context, value string) error {
--- a/roster/publisher_era_test.go
+++ b/roster/publisher_era_test.go
@@ -52,7 +52,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			service := kvfake.New(kvfake.Config{})
-			publisher := startPublisher(t, service, eraLease)
+			publisher := startPublisher(t, service, nil)
 			member := Member{VM: "vm-1", Address: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: "1"}
 			publish := func() {
 				publisher.Set(member)
@@ -125,7 +125,7 @@
 // the node, which it replaces only after its next renewal.
 func TestViewNamesEra(t *testing.T) {
 	service := kvfake.New(kvfake.Config{})
-	publisher := startPublisher(t, &deafClient{Client: service}, time.Minute)
+	publisher := startPublisher(t, &deafClient{Client: service}, func(c *PublisherConfig) { c.Lease = time.Minute })
 	member := Member{VM: "vm-1", Address: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: "1"}
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
@@ -149,15 +149,19 @@
 	}
 }
 
-// startPublisher starts a publisher of ownKey whose leases have a time to live.
-func startPublisher(t *testing.T, client kv.Client, lease time.Duration) *Publisher {
-	publisher := NewPublisher(PublisherConfig{
+// startPublisher starts a publisher of ownKey whose leases end soon; change may be nil.
+func startPublisher(t *testing.T, client kv.Client, change func(*PublisherConfig)) *Publisher {
+	config := PublisherConfig{
 		Client:       client,
 		Key:          ownKey,
-		Lease:        lease,
+		Lease:        eraLease,
 		CurrentEntry: func() (kv.Entry, bool) { return kv.Entry{}, false },
 		Logger:       zap.NewNop(),
-	})
+	}
+	if change != nil {
+		change(&config)
+	}
+	publisher := NewPublisher(config)
 	done := make(chan error, 1)
 	ctx, stop := context.WithCancel(t.Context())
 	go func() { done <- publisher.Run(ctx) }()
@@ -209,20 +213,7 @@
 		_, err = service.Put(t.Context(), kv.PutRequest{Key: otherKey, Lease: lease})
 		assert.NilError(t, err)
 	}}
-	publisher := NewPublisher(PublisherConfig{
-		Client:       client,
-		Key:          ownKey,
-		Lease:        eraLease,
-		CurrentEntry: func() (kv.Entry, bool) { return kv.Entry{}, false },
-		Logger:       zap.NewNop(),
-	})
-	done := make(chan error, 1)
-	ctx, stop := context.WithCancel(t.Context())
-	go func() { done <- publisher.Run(ctx) }()
-	t.Cleanup(func() {
-		stop()
-		assert.NilError(t, <-done)
-	})
+	publisher := startPublisher(t, client, nil)
 	publisher.Set(Member{VM: "vm-1", Address: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: "1"})
 	wait, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
@@ -240,24 +231,13 @@
 	service := kvfake.New(kvfake.Config{})
 	saved := service.Copy()
 	var known atomic.Pointer[kv.Entry]
-	publisher := NewPublisher(PublisherConfig{
-		Client: service,
-		Key:    ownKey,
-		Lease:  eraLease,
-		CurrentEntry: func() (kv.Entry, bool) {
+	publisher := startPublisher(t, service, func(c *PublisherConfig) {
+		c.CurrentEntry = func() (kv.Entry, bool) {
 			if entry := known.Load(); entry != nil {
 				return *entry, true
 			}
 			return kv.Entry{}, false
-		},
-		Logger: zap.NewNop(),
-	})
-	done := make(chan error, 1)
-	ctx, stop := context.WithCancel(t.Context())
-	go func() { done <- publisher.Run(ctx) }()
-	t.Cleanup(func() {
-		stop()
-		assert.NilError(t, <-done)
+		}
 	})
 	publisher.Set(Member{VM: "vm-1", Address: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: "1"})
 	wait, cancel := context.WithTimeout(t.Context(), 10*time.Second)
@@ -309,22 +289,10 @@
 func TestCutOffPublisherOverDrill(t *testing.T) {
 	service := kvfake.New(kvfake.Config{})
 	client := &cutClient{Service: service}
-	publisher := NewPublisher(PublisherConfig{
-		Client:       client,
-		Key:          ownKey,
-		Lease:        eraLease,
-		CurrentEntry: func() (kv.Entry, bool) { return kv.Entry{}, false },
-		Renew: func(ctx context.Context, era kv.Era, lease kv.LeaseID) error {
+	publisher := startPublisher(t, client, func(c *PublisherConfig) {
+		c.Renew = func(ctx context.Context, era kv.Era, lease kv.LeaseID) error {
 			return RenewInEra(ctx, service, era, lease) // as another node does
-		},
-		Logger: zap.NewNop(),
-	})
-	done := make(chan error, 1)
-	ctx, stop := context.WithCancel(t.Context())
-	go func() { done <- publisher.Run(ctx) }()
-	t.Cleanup(func() {
-		stop()
-		assert.NilError(t, <-done)
+		}
 	})
 	publisher.Set(Member{VM: "vm-1", Address: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: "1"})
 	wait, cancel := context.WithTimeout(t.Context(), 10*time.Second)
