--- /dev/null
+++ b/review/standin-2/case_uploads.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+func init() {
+	cases["uploads"] = playUploads
+	cases["left"] = playLeft
+}
+
+const (
+	// leaveAfter is how long after its last request a client leaves.
+	leaveAfter = 500 * time.Millisecond
+	// leftWork is how long a target works on a request.
+	leftWork = 3 * time.Second
+	// leftSlack is how long after a client has left a target may still work for it.
+	leftSlack = 500 * time.Millisecond
+	// uploads is the number of uploads, and uploadBytes the size of each.
+	uploads, uploadBytes = 60, 200_000
+	// Of tenClients clients, leavers leave: a share of 0.3, as on the site's days.
+	tenClients, leavers = 10, 3
+	// leftPipelines is the number of connections on which pipelineDepth requests are pipelined.
+	leftPipelines, pipelineDepth = 30, 3
+	// pipelineBytes is the size of a pipelined request's body.
+	pipelineBytes = 400
+)
+
+// sentRequest is a request whose client has left, or has waited if left is zero.
+type sentRequest struct {
+	attempt string
+	left    time.Time
+}
+
+// startLeft starts a site for clients that leave.
+func startLeft(s *site) (key string, err error) {
+	for _, each := range []struct{ zone, service string }{{"khomas-a", "termbook"}, {"khomas-b", "rulings"}, {"khomas-c", "termbook"}} {
+		if _, err := s.add(each.zone, each.service, 72, func(string) time.Duration { return leftWork }); err != nil {
+			return "", err
+		}
+	}
+	routes := []route{{name: "lookup", kind: "idempotent", host: "desk.example", prefix: "/lookup/", service: "termbook", timeout: 6, attempts: 2}}
+	paper := tenant{name: "paper", keys: []string{"6wsjnbanfqasnmgkcuyj"}, rate: 1000, burst: 1000}
+	return paper.keys[0], s.start(configText(1, routes, []tenant{paper}, "termbook", "rulings"))
+}
+
+// playUploads sends idempotent requests with long bodies, whose clients leave before their
+// time limit.
+func playUploads(s *site, trouble bool) (bool, error) {
+	key, err := startLeft(s)
+	if err != nil {
+		return false, err
+	}
+	results := make(chan sentRequest, uploads)
+	for i := range uploads {
+		m := s.machines[i%len(s.machines)]
+		go func() { results <- s.sendAndLeave(m, key, 1, uploadBytes, trouble && i%tenClients < leavers)[0] }()
+		time.Sleep(20 * time.Millisecond)
+	}
+	var all []sentRequest
+	for range uploads {
+		all = append(all, <-results)
+	}
+	return s.checkLeft(all), nil
+}
+
+// playLeft pipelines idempotent requests with short bodies, whose clients leave before their
+// time limit.
+func playLeft(s *site, trouble bool) (bool, error) {
+	key, err := startLeft(s)
+	if err != nil {
+		return false, err
+	}
+	results := make(chan []sentRequest, leftPipelines)
+	for i := range leftPipelines {
+		m := s.machines[i%len(s.machines)]
+		go func() {
+			results <- s.sendAndLeave(m, key, pipelineDepth, pipelineBytes, trouble && i%tenClients < leavers)
+		}()
+	}
+	var all []sentRequest
+	for range leftPipelines {
+		all = append(all, <-results...)
+	}
+	return s.checkLeft(all), nil
+}
+
+// sendAndLeave sends requests on one connection and closes it, if the client leaves, before
+// the first answer.
+func (s *site) sendAndLeave(m *machine, key string, requests, size int, leaves bool) []sentRequest {
+	sent := make([]sentRequest, requests)
+	conn, err := net.Dial("tcp", m.outbound)
+	if err != nil {
+		s.log("%s: no connection: %v", m.name, err)
+		return sent
+	}
+	defer conn.Close()
+	for i := range sent {
+		sent[i].attempt = newAttempt()
+		_, _ = io.WriteString(conn, requestText(http.MethodPut, "/lookup/photo", "desk.example", sent[i].attempt, key, 6*time.Second, size))
+		time.Sleep(pipelineGap)
+	}
+	if !leaves {
+		s.readAll(conn, m, sent)
+		return sent
+	}
+	time.Sleep(leaveAfter)
+	_ = conn.Close()
+	left := time.Now()
+	s.log("%s: the client of %s and %d behind it closes its connection", m.name, sent[0].attempt, requests-1)
+	for i := range sent {
+		sent[i].left = left
+	}
+	return sent
+}
+
+// checkLeft reports whether at most a quarter of the runs that would have lasted so long went
+// on more than leftSlack after their clients had left.
+func (s *site) checkLeft(all []sentRequest) bool {
+	time.Sleep(leftWork + time.Second)
+	counted, still := 0, 0
+	for _, each := range all {
+		for _, r := range s.runs.of(each.attempt) {
+			s.log("%s: ran at %s from %s to %s, dropped: %t", each.attempt, r.instance, s.at(r.began), s.at(r.ended), r.dropped)
+			if each.left.IsZero() || !r.began.Add(leftWork).After(each.left.Add(leftSlack)) {
+				continue
+			}
+			counted++
+			if r.ended.After(each.left.Add(leftSlack)) {
+				still++
+			}
+		}
+	}
+	s.log("%d of %d runs went on for over %v after their clients had left; a quarter is allowed", still, counted, leftSlack)
+	return 4*still <= counted
+}
--- /dev/null
+++ b/review/standin-2/client.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+var attempts atomic.Uint64
+
+// newAttempt returns a new attempt ID.
+func newAttempt() string {
+	return fmt.Sprintf("%08x%08x", uint32(time.Now().UnixNano()), uint32(attempts.Add(1)))
+}
+
+// requestText returns a request. A body of size bytes is sent with its length.
+func requestText(method, path, host, attempt, key string, deadline time.Duration, size int) string {
+	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Request-Deadline: %d\r\n", method, path, host, attempt, deadline.Milliseconds())
+	if key != "" {
+		text += "Authorization: Bearer " + key + "\r\n"
+	}
+	if size > 0 || method == http.MethodPost || method == http.MethodPut {
+		text += fmt.Sprintf("Content-Length: %d\r\n", size)
+	}
+	return text + "\r\n" + strings.Repeat("x", size)
+}
+
+// answer is what a client got; status 0 means no complete answer.
+type answer struct {
+	status int
+	body   string
+	header http.Header
+	err    error
+}
+
+// readAnswer reads an answer.
+func readAnswer(reader *bufio.Reader, method string) answer {
+	response, err := http.ReadResponse(reader, &http.Request{Method: method})
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return answer{err: err}
+	}
+	return answer{status: response.StatusCode, body: string(body), header: response.Header}
+}
+
+// send sends one request on a new connection.
+func send(address, method, path, host, attempt, key string, deadline time.Duration, size int) answer {
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(deadline + time.Second))
+	if _, err := io.WriteString(conn, requestText(method, path, host, attempt, key, deadline, size)); err != nil {
+		return answer{err: err}
+	}
+	return readAnswer(bufio.NewReader(conn), method)
+}
+
+// pipelineGap is the time between two requests of a client on one connection.
+const pipelineGap = 30 * time.Millisecond
+
+// readAll reads the answers to requests on one connection.
+func (s *site) readAll(conn net.Conn, m *machine, sent []sentRequest) {
+	_ = conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+	reader := bufio.NewReader(conn)
+	for _, each := range sent {
+		got := readAnswer(reader, http.MethodPut)
+		s.log("%s: %s is answered %d, error %v", m.name, each.attempt, got.status, got.err)
+	}
+}
