--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -28,7 +28,6 @@
 	born                              int64
 	mu                                sync.Mutex
 	sequence                          int
-	draining, silent                  bool
 	process                           *exec.Cmd
 	done                              chan struct{}
 }
@@ -206,16 +205,10 @@
 func (m *machine) report() int {
 	m.mu.Lock()
 	m.sequence++
-	sequence, state, silent := m.sequence, "ready", m.silent
-	if m.draining {
-		state = "draining"
-	}
+	sequence := m.sequence
 	m.mu.Unlock()
-	if silent {
-		return 0
-	}
-	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"cold-remaining-s":0,"seq-num":%d,"born":%d}`,
-		m.service, m.app, m.zone, m.target.slots, state, sequence, m.born)
+	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","cold-remaining-s":0,"seq-num":%d,"born":%d}`,
+		m.service, m.app, m.zone, m.target.slots, sequence, m.born)
 	return m.callControl(http.MethodPut, body)
 }
 
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -165,19 +165,6 @@
 	return item, ok
 }
 
-func (s *store) keys(prefix string) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var keys []string
-	for key := range s.items {
-		if strings.HasPrefix(key, prefix) {
-			keys = append(keys, key)
-		}
-	}
-	sort.Strings(keys)
-	return keys
-}
-
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	s.mu.Lock()
--- a/review/standin-2/target.go
+++ b/review/standin-2/target.go
@@ -113,8 +113,10 @@
 	if err != nil {
 		return // the request was never whole
 	}
-	each := &run{attempt: attempt, service: t.service, instance: t.instance, tenant: r.Header.Get("X-Tenant-Id"),
-		caller: r.Header.Get("X-Caller-Service"), began: time.Now()}
+	each := &run{
+		attempt: attempt, service: t.service, instance: t.instance, tenant: r.Header.Get("X-Tenant-Id"),
+		caller: r.Header.Get("X-Caller-Service"), began: time.Now(),
+	}
 	t.runs.add(each)
 	ctx := r.Context()
 	if left, err := strconv.Atoi(r.Header.Get("X-Request-Deadline")); err == nil {
