Review: a target that has left is in use again by a late report

A DELETE is acknowledged while the store is down; after a restart of the node a report from before the DELETE brings the target back into use (platform/reports.go, node/hosted_backend.go).

--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -28,6 +28,7 @@
 	born                              int64
 	mu                                sync.Mutex
 	sequence                          int
+	reportsEnded                      bool
 	process                           *exec.Cmd
 	done                              chan struct{}
 }
@@ -202,16 +203,34 @@
 	return nil
 }
 
-func (m *machine) report() int {
+// report sends the target's next report, unless it sends no more.
+func (m *machine) report() {
 	m.mu.Lock()
-	m.sequence++
-	sequence := m.sequence
+	body, ended := m.nextReport(), m.reportsEnded
 	m.mu.Unlock()
-	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","cold-remaining-s":0,"seq-num":%d,"born":%d}`,
-		m.service, m.app, m.zone, m.target.slots, sequence, m.born)
-	return m.callControl(http.MethodPut, body)
+	if !ended {
+		m.sendReport(body)
+	}
+}
+
+// nextReport returns the target's next report; m.mu is held.
+func (m *machine) nextReport() string {
+	m.sequence++
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","cold-remaining-s":0,"seq-num":%d,"born":%d}`,
+		m.service, m.app, m.zone, m.target.slots, m.sequence, m.born)
 }
 
+// stopReports ends the reports, and returns one more that has not arrived yet.
+func (m *machine) stopReports() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reportsEnded = true
+	return m.nextReport()
+}
+
+// sendReport returns the status of the answer to a report, or 0 if there is none.
+func (m *machine) sendReport(body string) int { return m.callControl(http.MethodPut, body) }
+
 func (m *machine) callControl(method, body string) int {
 	request, err := http.NewRequest(method, "http://"+m.control+"/instances/"+m.target.instance, strings.NewReader(body))
 	if err != nil {
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -44,9 +44,11 @@
 	events    []storeEvent
 	leases    map[uint64]storeLease
 	lastLease uint64
-	away      bool
-	server    *http.Server
-	address   string
+	// busy is set while the store answers 503 to all; leases do not end then.
+	busy    bool
+	busyAt  time.Time
+	server  *http.Server
+	address string
 }
 
 // storeCopy is a copy of the store's data.
@@ -78,6 +80,9 @@
 
 // expire removes the keys of leases that have ended; s.mu is held.
 func (s *store) expire(now time.Time) {
+	if s.busy {
+		return
+	}
 	for id, lease := range s.leases {
 		if now.Before(lease.end) {
 			continue
@@ -154,10 +159,23 @@
 	for k, v := range c.leases {
 		s.leases[k] = storeLease{ttl: v.ttl, end: time.Now().Add(v.end.Sub(c.at))}
 	}
-	s.away = false
 	s.notify()
 }
 
+// setBusy sets whether the store answers 503 to all. Leases pause meanwhile.
+func (s *store) setBusy(busy bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if s.busy && !busy {
+		for id, lease := range s.leases {
+			lease.end = lease.end.Add(now.Sub(s.busyAt))
+			s.leases[id] = lease
+		}
+	}
+	s.busy, s.busyAt = busy, now
+}
+
 func (s *store) value(key string) (storeItem, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -169,9 +187,10 @@
 	body, _ := io.ReadAll(r.Body)
 	s.mu.Lock()
 	era := s.era
-	if s.away {
+	if s.busy {
 		s.mu.Unlock()
-		panic(http.ErrAbortHandler) // the connection ends without an answer
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
 	}
 	status, answer := s.answer(r, body)
 	if s.era != era {
