--- a/review/standin-2/case_keyless.go
+++ b/review/standin-2/case_keyless.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"net/http"
 	"time"
 )
 
@@ -29,8 +28,7 @@
 		return false, err
 	}
 	for _, m := range s.machines {
-		got := send(m.outbound, http.MethodGet, "/lookup/before", "desk.example", newAttempt(), key, 2*time.Second, 0)
-		s.log("%s: version 1, answer %d", m.name, got.status)
+		s.send(m, "/lookup/before", newAttempt(), key, 2*time.Second)
 	}
 	if trouble {
 		tenants, key = nil, ""
@@ -41,9 +39,7 @@
 	answers := map[int]int{}
 	for i := range keylessRequests {
 		m := s.machines[i%len(s.machines)]
-		got := send(m.outbound, http.MethodGet, "/lookup/after", "desk.example", newAttempt(), key, 2*time.Second, 0)
-		answers[got.status]++
-		s.log("%s: request %d, answer %d", m.name, i, got.status)
+		answers[s.send(m, "/lookup/after", newAttempt(), key, 2*time.Second).status]++
 	}
 	denied, allowed := 0, 5+keylessRequests/500
 	for status, count := range answers {
--- a/review/standin-2/case_leave.go
+++ b/review/standin-2/case_leave.go
@@ -57,6 +57,7 @@
 	if status != http.StatusOK {
 		return false, fmt.Errorf("the DELETE was answered %d", status)
 	}
+	time.AfterFunc(time.Until(acked.Add(exitAfter)), func() { _ = leaving.target.server.Close(); s.log("%s exits", leaving.target.instance) })
 	if trouble {
 		time.Sleep(restartAt)
 		leaving.signal(syscall.SIGTERM)
@@ -83,7 +84,7 @@
 		for _, m := range s.machines[1:] {
 			id := newAttempt()
 			ids = append(ids, id)
-			send(m.outbound, http.MethodGet, "/lookup/a", "desk.example", id, "", 2*time.Second, 0)
+			s.send(m, "/lookup/a", id, "", 2*time.Second)
 		}
 		time.Sleep(leaveGap)
 	}
--- a/review/standin-2/case_pipeline.go
+++ b/review/standin-2/case_pipeline.go
@@ -101,8 +101,9 @@
 	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
 	paths := []string{"/lookup/1", "/photo/2", "/lookup/3", "/lookup/4", "/lookup/5"}
 	var ids []string
+	var sent []time.Time
 	for i, path := range paths {
-		ids = append(ids, newAttempt())
+		ids, sent = append(ids, newAttempt()), append(sent, time.Now())
 		_, _ = io.WriteString(conn, requestText(http.MethodGet, path, "desk.example", ids[i], key, 6*time.Second, 0))
 		if i == 0 {
 			time.Sleep(pipelineLead)
@@ -111,9 +112,7 @@
 	reader := bufio.NewReader(conn)
 	for i, id := range ids {
 		got, ran := readAnswer(reader, http.MethodGet), s.runs.of(id)
-		if got.status != http.StatusOK {
-			s.log("%s %s: status %d, error %v, runs %d", id, paths[i], got.status, got.err, len(ran))
-		}
+		s.logRequest(m, http.MethodGet, paths[i], id, sent[i], got)
 		if got.status == 0 && len(ran) > 0 && ran[0].service == "termbook" {
 			cut++
 		}
--- a/review/standin-2/case_uploads.go
+++ b/review/standin-2/case_uploads.go
@@ -63,7 +63,7 @@
 // sendAndLeave sends an upload and closes its connection, if the client leaves, before the
 // answer.
 func (s *site) sendAndLeave(m *machine, leaves bool) sentRequest {
-	sent := sentRequest{attempt: newAttempt()}
+	sent, began := sentRequest{attempt: newAttempt()}, time.Now()
 	conn, err := net.Dial("tcp", m.outbound)
 	if err != nil {
 		s.log("%s: no connection: %v", m.name, err)
@@ -73,14 +73,13 @@
 	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
 	_, _ = io.WriteString(conn, requestText(http.MethodPut, "/lookup/photo", "desk.example", sent.attempt, "", 6*time.Second, uploadBytes))
 	if !leaves {
-		got := readAnswer(bufio.NewReader(conn), http.MethodPut)
-		s.log("%s: %s is answered %d, error %v", m.name, sent.attempt, got.status, got.err)
+		s.logRequest(m, http.MethodPut, "/lookup/photo", sent.attempt, began, readAnswer(bufio.NewReader(conn), http.MethodPut))
 		return sent
 	}
 	time.Sleep(leaveAfter)
 	_ = conn.Close()
 	sent.left = time.Now()
-	s.log("%s: the client of %s closes its connection", m.name, sent.attempt)
+	s.log("%s: PUT /lookup/photo, sent to %s at %s, its client closes the connection", sent.attempt, m.name, s.at(began))
 	return sent
 }
 
@@ -91,7 +90,6 @@
 	counted, still := 0, 0
 	for _, each := range all {
 		for _, r := range s.runs.of(each.attempt) {
-			s.log("%s: ran at %s from %s to %s, dropped: %t", each.attempt, r.instance, s.at(r.began), s.at(r.ended), r.dropped)
 			if each.left.IsZero() || !r.began.Add(leftWork).After(each.left.Add(leftSlack)) {
 				continue
 			}
--- a/review/standin-2/case_withdrawn.go
+++ b/review/standin-2/case_withdrawn.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"net/http"
 	"time"
 )
 
@@ -45,8 +44,7 @@
 	s.log("version 2 takes the key away, acknowledged at %s", s.at(acked))
 	time.Sleep(drillAfter - time.Second)
 	for _, m := range s.machines {
-		got := send(m.outbound, http.MethodGet, "/lookup/before", "desk.example", newAttempt(), withdrawn, 2*time.Second, 0)
-		s.log("%s: answers %d to the key", m.name, got.status)
+		s.send(m, "/lookup/before", newAttempt(), withdrawn, 2*time.Second)
 	}
 	time.Sleep(time.Until(acked.Add(drillAfter)))
 
@@ -68,9 +66,9 @@
 			s.log("the operator has written version 2 again")
 		}
 		attempt, sent := newAttempt(), time.Now()
-		got := send(m.outbound, http.MethodGet, "/lookup/after", "desk.example", attempt, withdrawn, 2*time.Second, 0)
+		s.send(m, "/lookup/after", attempt, withdrawn, 2*time.Second)
 		for _, r := range s.runs.of(attempt) {
-			s.log("%s: sent %.3f s after the acknowledgement, ran at %s for tenant %s, answered %d", attempt, sent.Sub(acked).Seconds(), r.instance, r.tenant, got.status)
+			s.log("%s: sent %.3f s after the acknowledgement, and ran at %s", attempt, sent.Sub(acked).Seconds(), r.instance)
 			if sent.Sub(acked) > revokeBound {
 				ran++
 			}
--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -52,16 +52,32 @@
 	return answer{status: response.StatusCode, body: string(body), header: response.Header}
 }
 
-// send sends one request on a new connection.
-func send(address, method, path, host, attempt, key string, deadline time.Duration, size int) answer {
+// logRequest records a request and its answer.
+func (s *site) logRequest(m *machine, method, path, attempt string, sent time.Time, got answer) {
+	result := fmt.Sprintf("answered %d, %d bytes", got.status, len(got.body))
+	if got.status == 0 {
+		result = fmt.Sprintf("no answer: %v", got.err)
+	}
+	s.log("%s: %s %s, sent to %s at %s, %s", attempt, method, path, m.name, s.at(sent), result)
+}
+
+// send sends one request without a body on a new connection.
+func (s *site) send(m *machine, path, attempt, key string, deadline time.Duration) answer {
+	sent := time.Now()
+	got := sendOnce(m.outbound, requestText(http.MethodGet, path, "desk.example", attempt, key, deadline, 0), sent.Add(deadline+time.Second))
+	s.logRequest(m, http.MethodGet, path, attempt, sent, got)
+	return got
+}
+
+func sendOnce(address, text string, end time.Time) answer {
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return answer{err: err}
 	}
 	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(deadline + time.Second))
-	if _, err := io.WriteString(conn, requestText(method, path, host, attempt, key, deadline, size)); err != nil {
+	_ = conn.SetDeadline(end)
+	if _, err := io.WriteString(conn, text); err != nil {
 		return answer{err: err}
 	}
-	return readAnswer(bufio.NewReader(conn), method)
+	return readAnswer(bufio.NewReader(conn), http.MethodGet)
 }
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -3,10 +3,10 @@
 //
 // # Usage
 //
-//	standin-2 CASE ROOT FOLDER
+//	standin-2 CASE ROOT FOLDER TROUBLE
 //
 // ROOT is the repository's folder and FOLDER that of the case, where record.txt is written.
-// With TROUBLE=0 in the environment the disruption is left out.
+// If TROUBLE is 0, the disruption is left out.
 package main
 
 import (
@@ -28,14 +28,14 @@
 var cases = map[string]func(s *site, trouble bool) (held bool, err error){}
 
 func main() {
-	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE ROOT FOLDER")
+	if len(os.Args) != 5 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE ROOT FOLDER TROUBLE")
 		os.Exit(exitNotRun)
 	}
-	os.Exit(play(os.Args[1], os.Args[2], os.Args[3]))
+	os.Exit(play(os.Args[1], os.Args[2], os.Args[3], os.Args[4] != "0"))
 }
 
-func play(name, root, folder string) int {
+func play(name, root, folder string, trouble bool) int {
 	s, err := newSite(root, folder)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -43,7 +43,6 @@
 	}
 	defer s.stop()
 	s.stopEarly()
-	trouble := os.Getenv("TROUBLE") != "0"
 	s.log("case %s, disruption: %t", name, trouble)
 	held, err := cases[name](s, trouble)
 	switch {
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -45,6 +46,23 @@
 	record   *os.File
 	recordMu sync.Mutex
 	began    time.Time
+	starts   chan processStart
+}
+
+// processStart is a process to start.
+type processStart struct {
+	command *exec.Cmd
+	result  chan error
+}
+
+// startProcesses starts processes from one thread that lives as long as this program, so
+// that they end with it, however it ends.
+func (s *site) startProcesses() {
+	runtime.LockOSThread()
+	for start := range s.starts {
+		start.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+		start.result <- start.command.Start()
+	}
 }
 
 func newSite(root, folder string) (*site, error) {
@@ -67,7 +85,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &site{dir: dir, root: root, program: filepath.Join(root, "target", "hosted"), store: kv, network: freeNetwork(), runs: &runs{}, record: record, began: time.Now()}, nil
+	s := &site{dir: dir, root: root, program: filepath.Join(root, "target", "hosted"), store: kv, network: freeNetwork(), runs: &runs{}, record: record, began: time.Now(), starts: make(chan processStart)}
+	go s.startProcesses()
+	return s, nil
 }
 
 // freeNetwork returns a network of loopback addresses on which nothing listens at the
@@ -101,7 +121,7 @@
 	m.ready, m.control, m.app = m.ip+":8546", m.ip+":8540", m.ip+":8547"
 	m.portFirst, m.portLast = 7000, 7015
 	m.settings = filepath.Join(s.dir, m.name+".conf")
-	m.target = &target{service: service, instance: "i-" + m.name, slots: slots, work: work, runs: s.runs}
+	m.target = &target{service: service, instance: "i-" + m.name, slots: slots, work: work, runs: s.runs, log: s.log, at: s.at}
 	s.machines = append(s.machines, m)
 	return m, nil
 }
@@ -160,7 +180,9 @@
 	command.Dir = m.site.root
 	command.Env = append(os.Environ(), "AUBURNGAP_NODE_FILE="+m.settings)
 	command.Stdout, command.Stderr = output, output
-	if err := command.Start(); err != nil {
+	start := processStart{command: command, result: make(chan error, 1)}
+	m.site.starts <- start
+	if err := <-start.result; err != nil {
 		return err
 	}
 	done := make(chan struct{})
--- a/review/standin-2/target.go
+++ b/review/standin-2/target.go
@@ -58,6 +58,8 @@
 	work                       func(path string) time.Duration
 	runs                       *runs
 	server                     *http.Server
+	log                        func(format string, values ...any)
+	at                         func(time.Time) string
 	// breaksOff returns the stated and the sent length of an answer that breaks off; zero
 	// for the usual answer. It may be nil.
 	breaksOff func(path string) (stated, sent int)
@@ -131,6 +133,8 @@
 		status = http.StatusGatewayTimeout
 	}
 	t.runs.end(each, r.Context().Err() != nil)
+	t.log("%s: ran at %s for tenant %q, %d bytes, from %s to %s, status %d, dropped: %t",
+		attempt, t.instance, each.tenant, size, t.at(each.began), t.at(each.ended), status, each.dropped)
 	w.Header().Set("X-Response-Seal", "seal-"+t.instance)
 	if t.breaksOff != nil {
 		if stated, sent := t.breaksOff(r.URL.Path); sent > 0 {
