Review: an interrupted case has no result

A case that was told to stop could exit with 1, as its clients saw the nodes end: case 7 did once, after SIGHUP.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -45,6 +45,9 @@
 	s.stopEarly()
 	s.log("case %s, disruption: %t", name, trouble)
 	held, err := cases[name](s, trouble)
+	if s.interrupted.Load() {
+		select {} // stopEarly ends the program; what the clients saw of its end is no result
+	}
 	switch {
 	case err != nil:
 		s.log("not run: %v", err)
@@ -72,6 +75,8 @@
 		case <-signals:
 		case <-time.After(maxTime):
 		}
+		s.interrupted.Store(true)
+		s.log("not run: interrupted")
 		s.stop()
 		os.Exit(exitNotRun)
 	}()
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -12,6 +12,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -47,6 +48,8 @@
 	recordMu sync.Mutex
 	began    time.Time
 	starts   chan processStart
+	// interrupted is set once the program is told to stop.
+	interrupted atomic.Bool
 }
 
 // processStart is a process to start.
@@ -180,6 +183,9 @@
 	command.Dir = m.site.root
 	command.Env = append(os.Environ(), "AUBURNGAP_NODE_FILE="+m.settings)
 	command.Stdout, command.Stderr = output, output
+	if m.site.interrupted.Load() {
+		select {} // stopEarly ends the program
+	}
 	start := processStart{command: command, result: make(chan error, 1)}
 	m.site.starts <- start
 	if err := <-start.result; err != nil {
