Ask other nodes which runs of a backend server have left

Nothing that outlives the process knew that this run had left.

Change: a run that leaves (instance and start) is a departure. Every node keeps those that it learns of: from entries that say that a server drains, and from the node of a leaving server, which tells up to four others, chosen by rendezvous hashing, while the store does not take it, and again each second. A process asks the same nodes after its first list of an era, and uses no server before. It waits for nobody on the first start of a site or where it is alone, and 3 s at most where nobody answers. A departure is final for its run, also if it drained and its next report lacks that; a later run under the same ID is used. A server that leaves before its node had any report of it is published as leaving, too.

--- a/node/hosted.go
+++ b/node/hosted.go
@@ -109,14 +109,21 @@
 	draining atomic.Pointer[drainState]
 	// inFlight counts the requests of callers that have no answer yet.
 	inFlight atomic.Int64
-	// backendMu serializes updates about the backend server; it guards leavingBackend
-	// and endedInstance.
+	// backendMu serializes updates about the backend server; it guards departed, settled
+	// and held.
 	backendMu sync.Mutex
-	// leavingBackend is the backend server that was leaving when this process started,
-	// according to an earlier process or to the server itself.
-	leavingBackend *roster.Backend
-	// endedInstance is the last instance of the backend server that reported that it leaves.
-	endedInstance string
+	// departed holds the runs of the backend server that leave or have left.
+	departed []roster.Departure
+	// settled is set, and isSettled closed, once other nodes were asked which runs have left.
+	settled   bool
+	isSettled chan struct{}
+	// held is the report that the server is in use, which is applied once settled is set.
+	held *heldReport
+	// leaveUnpublished receives a value when the key-value service is slow to take that the
+	// server leaves.
+	leaveUnpublished chan struct{}
+	// nodesTold is how many other nodes know that the server leaves.
+	nodesTold atomic.Int64
 	// publishMu guards published, the entry that was published last; nil before the first.
 	publishMu sync.Mutex
 	published *roster.Member
@@ -141,6 +148,9 @@
 		ready:    make(chan struct{}),
 		listed:   make(map[string]bool),
 		hasView:  make(chan struct{}),
+
+		isSettled:        make(chan struct{}),
+		leaveUnpublished: make(chan struct{}, 1),
 	}
 	h.limits.Store(&config.Limits)
 	h.wire()
@@ -170,6 +180,7 @@
 	group.Go(func() error { return h.follower.Run(serving) })
 	group.Go(func() error { return h.publisher.Run(serving) })
 	group.Go(func() error { return h.publishUntil(serving) })
+	group.Go(func() error { return h.spreadDeparturesUntil(serving) })
 	group.Go(func() error { return h.gaugeUntil(serving) })
 	group.Go(func() error {
 		defer stop()
--- a/node/hosted_roster.go
+++ b/node/hosted_roster.go
@@ -22,14 +22,17 @@
 	// and renewTimeout bounds each request.
 	maxRenewPeers = 2
 	renewTimeout  = 500 * time.Millisecond
+	// maxPublishDelay bounds how long the first entry of a process waits for the answers of
+	// other nodes, which tell whether the backend server is in use.
+	maxPublishDelay = 300 * time.Millisecond
 )
 
 // apply updates the node to a changed view of the site.
 func (h *Hosted) apply(view roster.View) {
+	h.restoreBackend(view)
 	if !h.viewApplied {
 		h.viewApplied = true
 		h.portions.setKeepsPortions(h.config.FirstStart || h.entryStands(view))
-		h.restoreBackend(view.Members)
 		close(h.hasView)
 	}
 	h.portions.setMembers(time.Now(), view.Members)
@@ -125,6 +128,10 @@
 	case <-ctx.Done():
 		return nil
 	}
+	select {
+	case <-h.isSettled:
+	case <-time.After(maxPublishDelay):
+	}
 	ticker := time.NewTicker(membershipInterval)
 	defer ticker.Stop()
 	for {
@@ -226,6 +233,15 @@
 	return err
 }
 
+// onSync exchanges with another node what the service may lack.
+func (h *Hosted) onSync(_ context.Context, from peer.Identity, payload []byte) (proto.Message, error) {
+	var query peerpb.SyncQuery
+	if err := peer.Decode(payload, &query); err != nil {
+		return nil, err
+	}
+	return h.follower.AnswerSync(from.VM, &query), nil
+}
+
 // onRenew renews the lease of a node that cannot reach the service.
 func (h *Hosted) onRenew(ctx context.Context, from peer.Identity, payload []byte) (proto.Message, error) {
 	var query peerpb.RenewQuery
--- a/node/hosted_wire.go
+++ b/node/hosted_wire.go
@@ -84,6 +84,7 @@
 	h.wireCalls()
 	h.peers = peer.NewServer(peer.ServerConfig{Self: h.identity, Calls: h.local, Logger: h.logger, Timing: hostedTiming})
 	h.peers.Handle(peer.KindRoster, h.onRoster)
+	h.peers.Handle(peer.KindSync, h.onSync)
 	h.peers.Handle(peer.KindRenew, h.onRenew)
 	h.peers.Handle(peer.KindBorrow, h.portions.onBorrow)
 	h.peers.Handle(peer.KindRelease, h.portions.onRelease)
@@ -96,6 +97,7 @@
 		Query:            h.query,
 		VM:               c.VM,
 		Zone:             c.Zone,
+		FirstStart:       c.FirstStart,
 		Prefix:           c.Prefix,
 		SuspectReadAfter: c.SuspectReadAfter,
 		MemberPrefix:     c.MemberPrefix,
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -44,6 +44,8 @@
 	// KindRelease tells the next owner of workspaces that the sender has given up
 	// its part of their rates.
 	KindRelease Kind = 31
+	// KindSync asks a node what it knows that the key-value service may have lost.
+	KindSync Kind = 32
 )
 
 const (
--- a/roster/confirmation_test.go
+++ b/roster/confirmation_test.go
@@ -18,7 +18,6 @@
 	"auburngap/kv"
 	"auburngap/kv/fake"
 	"auburngap/peer"
-	"auburngap/peer/peerpb"
 )
 
 const (
@@ -238,7 +237,7 @@
 		return ctx.Err()
 	}
 	queried.awaitResumed()
-	answer := queried.follower.Answer(ctx, message.(*peerpb.RosterQuery))
+	answer := answerQuery(ctx, queried.follower, vmName(p.number), message)
 	fault, isLost := queried.current()
 	own, isOwnLost := p.current()
 	if fault.isSilent || own.isSilent || isLost || isOwnLost {
--- a/roster/drill_test.go
+++ b/roster/drill_test.go
@@ -19,7 +19,6 @@
 	"auburngap/kv"
 	"auburngap/kv/fake"
 	"auburngap/peer"
-	"auburngap/peer/peerpb"
 )
 
 // eraClient is one node's client of the service. It knows an era once a response named it.
@@ -118,7 +117,7 @@
 	put(configKey, "4")
 	empty := service.Copy()
 	query := func(ctx context.Context, address netip.AddrPort, _ peer.Kind, message, reply proto.Message) error {
-		answer := followers[int(address.Port())-7000].Answer(ctx, message.(*peerpb.RosterQuery))
+		answer := answerQuery(ctx, followers[int(address.Port())-7000], "", message)
 		sleepUntilDone(ctx, roundTrip)
 		if ctx.Err() != nil {
 			return ctx.Err()
--- a/roster/follower.go
+++ b/roster/follower.go
@@ -24,6 +24,9 @@
 	Query  QueryFunc
 	VM     string
 	Zone   string
+	// FirstStart is set if no node of the site has run before, so that none knows more than
+	// the service.
+	FirstStart bool
 	// Prefix is a common prefix of the configuration's key and of the keys of members.
 	Prefix string
 	// SuspectReadAfter is how long a read of the service may take until it is overdue: the
@@ -49,6 +52,10 @@
 type View struct {
 	Mirror  *Mirror
 	Members []Member
+	// Departed holds the runs of this VM's backend server that leave or have left.
+	Departed []Departure
+	// Settled is set once other nodes were asked what the service may lack.
+	Settled bool
 	// Source is where the latest changes were read.
 	Source Source
 	// UnconfirmedFor is how long the view had not been confirmed before that read; zero
@@ -89,6 +96,15 @@
 	// queriedEra is the latest era that another node has named in a query since the last read
 	// of the service.
 	queriedEra kv.Era
+	// departures holds the runs of backend servers that leave or have left.
+	departures departureTable
+	// hasEntered is set, and enteredEra is the era of the view, from the first list on.
+	hasEntered bool
+	enteredEra kv.Era
+	// settled is set once other nodes were asked in enteredEra.
+	settled bool
+	// eraEntered receives a value when a sync has to start.
+	eraEntered chan struct{}
 	// changed is closed at the next change.
 	changed chan struct{}
 	// malformed holds the keys that OnMalformed was called with.
@@ -116,6 +132,8 @@
 		readEnded: make(chan struct{}, 1),
 		changed:   make(chan struct{}),
 		malformed: make(map[string]bool),
+
+		eraEntered: make(chan struct{}, 1),
 	}
 }
 
@@ -161,21 +179,32 @@
 		close(f.changed)
 		f.changed = make(chan struct{})
 	}
-	f.refreshMembers(changed)
+	hasRefreshed := f.refreshMembers(changed)
+	if hasEntered := f.enterEra(); hasEntered || hasRefreshed {
+		f.notify()
+	}
 }
 
-// refreshMembers rebuilds the list of members and calls OnChange if entries have
-// changed or lapsed members have expired. The caller must hold the lock.
-func (f *Follower) refreshMembers(changed bool) {
+// refreshMembers rebuilds the list of members if entries have changed or lapsed members have
+// expired, and reports whether that is so. The caller must hold the lock.
+func (f *Follower) refreshMembers(changed bool) bool {
 	if expired := f.mirror.Expire(f.config.Now()); !expired && !changed {
-		return
+		return false
 	}
 	members, malformed := f.mirror.Members()
 	f.members = members
 	f.reportMalformed(malformed)
+	f.addMemberDepartures()
+	return true
+}
+
+// notify calls OnChange. The caller must hold the lock.
+func (f *Follower) notify() {
 	f.config.OnChange(View{
 		Mirror:         f.mirror,
 		Members:        f.members,
+		Departed:       f.departures.of(f.config.VM),
+		Settled:        f.settled,
 		Source:         f.lastRead.source,
 		UnconfirmedFor: f.lastRead.unconfirmedFor,
 	})
--- a/roster/follower_test.go
+++ b/roster/follower_test.go
@@ -108,11 +108,19 @@
 }
 
 func (z *testZone) query(ctx context.Context, address netip.AddrPort, _ peer.Kind, message, reply proto.Message) error {
-	answer := z.followers[address].Answer(ctx, message.(*peerpb.RosterQuery))
+	answer := answerQuery(ctx, z.followers[address], "", message)
 	proto.Merge(reply, answer)
 	return nil
 }
 
+// answerQuery returns a follower's answer to a query of the node of a VM.
+func answerQuery(ctx context.Context, f *Follower, vm string, query proto.Message) proto.Message {
+	if sync, ok := query.(*peerpb.SyncQuery); ok {
+		return f.AnswerSync(vm, sync)
+	}
+	return f.Answer(ctx, query.(*peerpb.RosterQuery))
+}
+
 // putConfig writes a configuration to the service.
 func (z *testZone) putConfig(config string) {
 	z.t.Helper()
--- a/roster/propagation_test.go
+++ b/roster/propagation_test.go
@@ -17,7 +17,6 @@
 	"auburngap/kv"
 	"auburngap/kv/fake"
 	"auburngap/peer"
-	"auburngap/peer/peerpb"
 )
 
 const (
@@ -129,7 +128,7 @@
 	if z.faults.Load()[node].refusesQueries {
 		return peer.ErrUnreachable.New("refused")
 	}
-	answer := z.followers[node].Answer(ctx, message.(*peerpb.RosterQuery))
+	answer := answerQuery(ctx, z.followers[node], "", message)
 	fault := z.faults.Load()[node]
 	if fault.refusesQueries {
 		return peer.ErrBroken.New("reset")
--- a/roster/reading.go
+++ b/roster/reading.go
@@ -31,6 +31,7 @@
 func (f *Follower) Run(ctx context.Context) error {
 	var reads sync.WaitGroup
 	defer reads.Wait()
+	reads.Go(func() { f.syncUntil(ctx) })
 	for ctx.Err() == nil {
 		next, wait := f.nextRead()
 		if next != nil {
@@ -65,7 +66,9 @@
 func (f *Follower) nextRead() (next *sourceRead, wait time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.refreshMembers(false)
+	if f.refreshMembers(false) {
+		f.notify()
+	}
 	now := f.config.Now()
 	source, ok := f.sources.Next(now, f.members, f.isSuspect(), f.random)
 	if !ok {
--- /dev/null
+++ b/roster/sync.go
@@ -0,0 +1,311 @@
+package roster
+
+import (
+	"cmp"
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
+
+	"auburngap/clock"
+	"auburngap/kv"
+	"auburngap/peer"
+	"auburngap/peer/peerpb"
+	"auburngap/rendezvous"
+)
+
+const (
+	// syncPeersPerRound is how many nodes are asked at once, half of them of the own zone
+	// where it has as many.
+	syncPeersPerRound = 4
+	// maxSyncPeers is how many nodes are asked at most.
+	maxSyncPeers = 16
+	// syncQueryTimeout is the timeout of a query, and syncGrace how much longer the replies
+	// of a round are awaited after one that settles the view.
+	syncQueryTimeout = 300 * time.Millisecond
+	syncGrace        = 100 * time.Millisecond
+	// syncPause is the time between two rounds.
+	syncPause = 100 * time.Millisecond
+	// syncTimeout bounds how long a node asks without a reply that settles its view.
+	syncTimeout = 3 * time.Second
+)
+
+// A list of the key-value service is not the whole truth for a node that knows nothing else:
+// the service may have come back from an older copy, or may lack what was acknowledged while
+// it was away. So after its first list of each era, a node asks other nodes. Its view is
+// settled once one has replied that is settled itself, or once there is none left to ask.
+
+// syncOutcome is what a query of another node has brought.
+type syncOutcome int
+
+const (
+	// syncFailed means that there was no reply in time.
+	syncFailed syncOutcome = iota
+	// syncUnsettled means that the node knows no more than this one.
+	syncUnsettled
+	// syncSettled means that the node's view was settled.
+	syncSettled
+)
+
+// enterEra starts a sync if the view has reached another era, and reports whether it has.
+// The caller must hold the lock.
+func (f *Follower) enterEra() bool {
+	era := f.mirror.Revision().Era()
+	if f.hasEntered && era == f.enteredEra {
+		return false
+	}
+	isFirst := !f.hasEntered
+	f.hasEntered, f.enteredEra = true, era
+	f.settled = isFirst && f.config.FirstStart || len(f.rankedPeers()) == 0
+	if f.settled {
+		return true
+	}
+	select {
+	case f.eraEntered <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// syncUntil syncs the view in each era until ctx is done.
+func (f *Follower) syncUntil(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.eraEntered:
+			f.syncEra(ctx)
+		}
+	}
+}
+
+// syncEra asks other nodes until the view is settled in the present era.
+func (f *Follower) syncEra(ctx context.Context) {
+	f.mu.Lock()
+	era := f.enteredEra
+	f.mu.Unlock()
+	startedAt := f.config.Now()
+	round := &syncRounds{follower: f, era: era, failures: make(map[string]int), unsettled: make(map[string]bool)}
+	for ctx.Err() == nil && f.isIn(era) {
+		isSettled := round.ask(ctx)
+		isOver := f.config.Now()-startedAt >= syncTimeout
+		if isSettled || isOver {
+			f.settle(era, startedAt, round, isSettled)
+			return
+		}
+		clock.Sleep(ctx, syncPause)
+	}
+}
+
+// isIn reports whether the view is in an era.
+func (f *Follower) isIn(era kv.Era) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.enteredEra == era
+}
+
+// settle records that other nodes were asked in an era.
+func (f *Follower) settle(era kv.Era, startedAt time.Duration, rounds *syncRounds, isSettled bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.enteredEra != era {
+		return
+	}
+	f.settled = true
+	log := f.config.Logger.Info
+	if !isSettled {
+		log = f.config.Logger.Warn
+	}
+	log("roster: other nodes asked", zap.Uint32("era", uint32(era)), zap.Bool("answered", isSettled),
+		zap.Int("failed", len(rounds.failures)), zap.Int("unsettled", len(rounds.unsettled)),
+		zap.Duration("took", f.config.Now()-startedAt))
+	f.notify()
+}
+
+// rankedPeers returns the other nodes in the order in which this node asks them, which
+// alternates between its own zone and the others. Each process on a VM has the same order,
+// so that a later one asks those that an earlier one told. The caller must hold the lock.
+func (f *Follower) rankedPeers() []Member {
+	ranker := rendezvous.New(f.config.VM)
+	var ranked [2][]Member
+	for _, member := range f.members {
+		switch {
+		case member.VM == f.config.VM || member.Leaving:
+		case member.Zone == f.config.Zone:
+			ranked[0] = append(ranked[0], member)
+		default:
+			ranked[1] = append(ranked[1], member)
+		}
+	}
+	for _, members := range ranked {
+		slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(ranker.Rank(a.VM), ranker.Rank(b.VM)) })
+	}
+	var peers []Member
+	for i := range max(len(ranked[0]), len(ranked[1])) {
+		for _, members := range ranked {
+			if i < len(members) {
+				peers = append(peers, members[i])
+			}
+		}
+	}
+	return peers[:min(len(peers), maxSyncPeers)]
+}
+
+// syncRounds asks other nodes in an era, some at a time.
+type syncRounds struct {
+	follower *Follower
+	era      kv.Era
+
+	mu sync.Mutex
+	// failures counts the failed queries of each VM.
+	failures map[string]int
+	// unsettled holds the VMs whose nodes know no more than this one.
+	unsettled map[string]bool
+}
+
+// next returns the nodes to ask in this round: those with the fewest failures that may
+// still settle the view.
+func (r *syncRounds) next() []Member {
+	r.follower.mu.Lock()
+	peers := r.follower.rankedPeers()
+	r.follower.mu.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	peers = slices.DeleteFunc(peers, func(m Member) bool { return r.unsettled[m.VM] })
+	slices.SortStableFunc(peers, func(a, b Member) int { return cmp.Compare(r.failures[a.VM], r.failures[b.VM]) })
+	return peers[:min(len(peers), syncPeersPerRound)]
+}
+
+// ask asks some nodes at once. It reports whether the view is settled: by a reply, or
+// because no node is left that may know more.
+func (r *syncRounds) ask(ctx context.Context) bool {
+	peers := r.next()
+	if len(peers) == 0 {
+		return true
+	}
+	outcomes := make(chan syncOutcome, len(peers))
+	for _, member := range peers {
+		go func() { outcomes <- r.askOne(ctx, member) }()
+	}
+	var grace <-chan time.Time
+	isSettled := false
+	for range peers {
+		select {
+		case outcome := <-outcomes:
+			if outcome == syncSettled && !isSettled {
+				isSettled, grace = true, time.After(syncGrace)
+			}
+		case <-grace:
+			return true
+		}
+	}
+	return isSettled
+}
+
+// askOne asks a node and applies its reply.
+func (r *syncRounds) askOne(ctx context.Context, member Member) syncOutcome {
+	outcome := r.follower.sync(ctx, member.Address)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch outcome {
+	case syncFailed:
+		r.failures[member.VM]++
+	case syncUnsettled:
+		r.unsettled[member.VM] = true
+	case syncSettled:
+	}
+	return outcome
+}
+
+// sync exchanges what this node and another one know.
+func (f *Follower) sync(ctx context.Context, address netip.AddrPort) syncOutcome {
+	ctx, cancel := context.WithTimeout(ctx, syncQueryTimeout)
+	defer cancel()
+	f.mu.Lock()
+	query := &peerpb.SyncQuery{
+		Revision:   uint64(f.mirror.Revision()),
+		Departures: departuresToMessage(f.departures.of(f.config.VM)),
+	}
+	f.mu.Unlock()
+	var reply peerpb.SyncReply
+	if err := f.config.Query(ctx, address, peer.KindSync, query, &reply); err != nil {
+		if errorx.IsOfType(err, peer.ErrBroken) && ctx.Err() == nil {
+			return syncUnsettled // a node of an earlier version closes the stream
+		}
+		return syncFailed
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.addDepartures(departuresFromMessage(reply.GetDepartures()))
+	if reply.GetUnsettled() {
+		return syncUnsettled
+	}
+	return syncSettled
+}
+
+// AnswerSync serves a sync of the node of a VM.
+func (f *Follower) AnswerSync(vm string, query *peerpb.SyncQuery) *peerpb.SyncReply {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.addDepartures(departuresFromMessage(query.GetDepartures()))
+	return &peerpb.SyncReply{
+		Revision:   uint64(f.mirror.Revision()),
+		Unsettled:  !f.settled,
+		Departures: departuresToMessage(f.departures.latestFor(vm)),
+	}
+}
+
+// AddDeparture records that a run of this VM's backend server leaves.
+func (f *Follower) AddDeparture(departure Departure) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.departures.add(departure)
+}
+
+// SpreadDepartures tells other nodes which runs of this VM's backend server have left, and
+// returns how many know it.
+func (f *Follower) SpreadDepartures(ctx context.Context) int {
+	f.mu.Lock()
+	peers := f.rankedPeers()
+	f.mu.Unlock()
+	peers = peers[:min(len(peers), syncPeersPerRound)]
+	outcomes := make(chan syncOutcome, len(peers))
+	for _, member := range peers {
+		go func() { outcomes <- f.sync(ctx, member.Address) }()
+	}
+	told := 0
+	for range peers {
+		if <-outcomes != syncFailed {
+			told++
+		}
+	}
+	return told
+}
+
+// addDepartures records departures that other nodes know of, and calls OnChange if one is
+// of this VM's backend server. The caller must hold the lock.
+func (f *Follower) addDepartures(departures []Departure) {
+	isOwn := false
+	for _, departure := range departures {
+		if f.departures.add(departure) && departure.VM == f.config.VM {
+			isOwn = true
+		}
+	}
+	if isOwn {
+		f.notify()
+	}
+}
+
+// addMemberDepartures records the backend servers that members publish as leaving. The
+// caller must hold the lock.
+func (f *Follower) addMemberDepartures() {
+	for _, member := range f.members {
+		if member.Backend != nil && member.Backend.Draining {
+			f.departures.add(Departure{VM: member.VM, Instance: member.Backend.Instance, Started: member.Backend.Started})
+		}
+	}
+}
--- /dev/null
+++ b/roster/sync_test.go
@@ -0,0 +1,176 @@
+package roster
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"auburngap/kv"
+	"auburngap/kv/fake"
+	"auburngap/peer"
+	"auburngap/peer/peerpb"
+)
+
+// syncStart is a process that starts at a site, and the other nodes that it may ask.
+type syncStart struct {
+	follower *Follower
+	mu       sync.Mutex
+	views    []View
+	queries  int
+}
+
+// newSyncStart returns a follower of vm-0 whose first list names vm-0 and the other nodes.
+// Each of those answers a sync as reply does.
+func newSyncStart(t *testing.T, others int, firstStart bool, reply func(ctx context.Context, address netip.AddrPort) (*peerpb.SyncReply, error)) *syncStart {
+	s := &syncStart{}
+	startedAt := time.Now()
+	s.follower = NewFollower(FollowerConfig{
+		Client: fake.New(fake.Config{}),
+		VM:     "vm-0", Zone: "z", MemberPrefix: "online/", FirstStart: firstStart,
+		CompareOthers: compareVersions,
+		Query: func(ctx context.Context, address netip.AddrPort, _ peer.Kind, _, answer proto.Message) error {
+			s.mu.Lock()
+			s.queries++
+			s.mu.Unlock()
+			got, err := reply(ctx, address)
+			if err == nil {
+				proto.Merge(answer, got)
+			}
+			return err
+		},
+		OnChange: func(view View) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.views = append(s.views, view)
+		},
+		OnMalformed: func(key string, err error) { t.Error(key, err) },
+		Logger:      zap.NewNop(),
+		Now:         func() time.Duration { return time.Since(startedAt) },
+	})
+	go s.follower.syncUntil(t.Context())
+	s.follower.apply(Source{}, Delta{Whole: true, Revision: 100, Entries: syncEntries(others)}, 0)
+	return s
+}
+
+func syncEntries(others int) []kv.Entry {
+	entries := []kv.Entry{{Key: configKey, Value: []byte("1"), Revision: 1}}
+	for i := range others + 1 {
+		value := `{"vm":"` + vmName(i) + `","zone":"z","address":"` + vmAddress(i).String() + `","incarnation":"1"}`
+		entries = append(entries, kv.Entry{Key: "online/" + vmName(i), Value: []byte(value), Revision: kv.Revision(i + 2)})
+	}
+	return entries
+}
+
+// latest returns the last view and the number of queries.
+func (s *syncStart) latest() (View, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.views[len(s.views)-1], s.queries
+}
+
+// TestSyncEnds guards against a process that believes a list of the service without having
+// asked others, and against one that waits for others where nobody can tell more.
+func TestSyncEnds(t *testing.T) {
+	settled := func(context.Context, netip.AddrPort) (*peerpb.SyncReply, error) {
+		time.Sleep(roundTrip)
+		return &peerpb.SyncReply{}, nil
+	}
+	unsettled := func(context.Context, netip.AddrPort) (*peerpb.SyncReply, error) {
+		time.Sleep(roundTrip)
+		return &peerpb.SyncReply{Unsettled: true}, nil
+	}
+	silent := func(ctx context.Context, _ netip.AddrPort) (*peerpb.SyncReply, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	refused := func(context.Context, netip.AddrPort) (*peerpb.SyncReply, error) {
+		return nil, peer.ErrUnreachable.New("refused")
+	}
+	unknownKind := func(context.Context, netip.AddrPort) (*peerpb.SyncReply, error) {
+		time.Sleep(roundTrip)
+		return nil, peer.ErrBroken.New("EOF")
+	}
+	oneSettled := func(ctx context.Context, address netip.AddrPort) (*peerpb.SyncReply, error) {
+		if address == vmAddress(3) {
+			return settled(ctx, address)
+		}
+		return silent(ctx, address)
+	}
+	cases := []struct {
+		name       string
+		others     int
+		firstStart bool
+		reply      func(context.Context, netip.AddrPort) (*peerpb.SyncReply, error)
+		// from and to bound the time until the view is settled.
+		from, to time.Duration
+	}{
+		{"the only node of a site", 0, false, silent, 0, 0},
+		{"a site that starts for the first time", 9, true, silent, 0, 0},
+		{"others answer", 9, false, settled, roundTrip, roundTrip},
+		{"one of the others answers", 9, false, oneSettled, roundTrip, time.Second},
+		{"all have just started", 9, false, unsettled, 3 * roundTrip, 500 * time.Millisecond},
+		{"all are of an earlier version", 9, false, unknownKind, 3 * roundTrip, 500 * time.Millisecond},
+		{"no other node answers", 9, false, silent, syncTimeout, syncTimeout + syncQueryTimeout + syncPause},
+		{"no other node runs", 9, false, refused, syncTimeout, syncTimeout + syncPause},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSyncStart(t, c.others, c.firstStart, c.reply)
+				startedAt := time.Now()
+				for {
+					synctest.Wait()
+					view, _ := s.latest()
+					took := time.Since(startedAt)
+					if view.Settled {
+						assert.Assert(t, took >= c.from && took <= c.to, "settled after %v", took)
+						return
+					}
+					assert.Assert(t, took <= c.to, "not settled after %v", took)
+					time.Sleep(time.Millisecond)
+				}
+			})
+		})
+	}
+}
+
+// TestSyncTellsDepartures guards against a departure that is known to another node and not
+// to the process that starts on the VM, nor to one that starts elsewhere and is asked later.
+func TestSyncTellsDepartures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		known := []Departure{
+			{VM: "vm-0", Instance: "i-0", Started: time.UnixMilli(1000)},
+			{VM: "vm-7", Instance: "i-7"},
+		}
+		s := newSyncStart(t, 3, false, func(context.Context, netip.AddrPort) (*peerpb.SyncReply, error) {
+			return &peerpb.SyncReply{Departures: departuresToMessage(known)}, nil
+		})
+		synctest.Wait()
+		view, queries := s.latest()
+		assert.Assert(t, view.Settled)
+		assert.DeepEqual(t, view.Departed, known[:1])
+		assert.Equal(t, queries, 3)
+		reply := s.follower.AnswerSync("vm-7", &peerpb.SyncQuery{})
+		assert.DeepEqual(t, departuresFromMessage(reply.GetDepartures()), known)
+	})
+}
+
+// TestDrainingMemberIsDeparted guards against a server that has left and is in use again
+// once the service has lost the entry that said so: every node that had read it tells.
+func TestDrainingMemberIsDeparted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSyncStart(t, 3, true, nil)
+		draining := `{"vm":"vm-2","zone":"z","address":"10.0.0.1:7002","incarnation":"1","sequence":1,"backend":{"service":"s","instance":"i-2","slots":1,"draining":true,"started":"1970-01-01T00:00:01Z"}}`
+		s.follower.apply(Source{}, Delta{Revision: 101, Entries: []kv.Entry{{Key: "online/vm-2", Value: []byte(draining), Revision: 101}}}, 0)
+		s.follower.apply(Source{}, Delta{Revision: 102, Entries: []kv.Entry{removed("online/vm-2", 102)}}, 0)
+		reply := s.follower.AnswerSync("vm-2", &peerpb.SyncQuery{})
+		assert.DeepEqual(t, departuresFromMessage(reply.GetDepartures()), []Departure{{VM: "vm-2", Instance: "i-2", Started: time.UnixMilli(1000)}})
+	})
+}
