Judge a request again if a version came into force while its key was checked

Cause: admission reads the version in force, and then asks whether the key may be trusted, which depends on the last confirmation. Between the two, the newer version came into force and was confirmed, and its confirmation passed for that of the older one. Any node whose view is confirmed again after a pause has the same race.

Change: once the key is found fresh, the version in force must still be the one that the request was judged by; otherwise it is judged again.

caller TestKeyWithdrawnDuringAdmission failed before ("admitted by version 1").

--- a/caller/admit.go
+++ b/caller/admit.go
@@ -50,6 +50,10 @@
 	if refusal := s.identifyWorkspace(ctx, index, route, call); refusal != nil {
 		return call, refusal
 	}
+	if s.config.Bundle().Bundle.Version != index.Bundle.Version {
+		// The confirmation that the key rests on may be that of the later version.
+		return s.admit(ctx, now)
+	}
 	if isAmbiguous(&ctx.Request.Header) {
 		return call, request.Refuse(request.CauseBadRequest, request.NotRun, 0)
 	}
--- a/caller/version_test.go
+++ b/caller/version_test.go
@@ -9,7 +9,9 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
@@ -107,3 +109,28 @@
 	}
 	return "200 " + string(body)
 }
+
+// TestKeyWithdrawnDuringAdmission guards against a key that is served by a version which was
+// no longer in force when the key was found fresh: the request had read the version before
+// the one that withdrew the key, and the confirmation of that one passed for its own.
+func TestKeyWithdrawnDuringAdmission(t *testing.T) {
+	school := []bundle.Route{{Name: "school", Prefix: "/school", Service: "school"}}
+	key := bundle.Key{ID: "1", Hash: bundle.HashKey([]byte("withdrawn-key"))}
+	before := bundle.NewIndex(&bundle.Bundle{Version: 1, Routes: school, Workspaces: []bundle.Workspace{{Name: "school", Weight: 1, Keys: []bundle.Key{key}}}})
+	after := before.Next(&bundle.Bundle{Version: 2, Routes: school, Workspaces: []bundle.Workspace{{Name: "school", Weight: 1}}})
+	var index atomic.Pointer[bundle.Index]
+	index.Store(before)
+	s := New(Config{
+		Bundle: index.Load, Logger: zap.NewNop(),
+		Stale: func(*bundle.Workspace) bool {
+			index.Store(after)
+			return false
+		},
+	})
+	var ctx fasthttp.RequestCtx
+	ctx.Request.SetRequestURI("/school")
+	ctx.Request.Header.Set(fasthttp.HeaderAuthorization, "Bearer withdrawn-key")
+	call, refusal := s.admit(&ctx, time.Now())
+	assert.Assert(t, refusal != nil, "admitted by version %d", call.Context.BundleVersion)
+	assert.Equal(t, refusal.Cause, request.CauseUnknownKey)
+}
