Ask other nodes for a configuration that the store may have lost

Cause, from a run of the case on with the nodes' logs: the process logs "roster: reading, revision 14, era 1" and "version in force 1" 2 ms after its start, while the others hold version 2 ("entries not taken, op/config, 1/2, known 15"). It took the first list for the whole truth, and that read counted as the confirmation that its keys rest on.

Change: the nodes that a process asks after its first list of an era also tell the entries that are not those of nodes, and how far their view can be trusted. An entry that its writer wrote later replaces the listed one, whatever its revision. Until a node has answered that was settled in the same era, or was up to date within 3 s, a list of a new era confirms nothing: a process that starts refuses requests with a key (503, not run), and one that runs goes on with its last confirmation of the era before. Routes without a key wait for nothing, nor does the first start of a site or its only node; where others are listed and none answers, it is 3 s.

--- a/roster/follower.go
+++ b/roster/follower.go
@@ -80,6 +80,10 @@
 	// confirmedAt is the latest time since boot at which the view is known to have been
 	// up to date.
 	confirmedAt time.Duration
+	// trustedAt is confirmedAt as of the last time that the view was settled, and isTrusted
+	// is set once it was.
+	trustedAt time.Duration
+	isTrusted bool
 	// confirmedBy is the source that the view was last confirmed by.
 	confirmedBy Source
 	// waitingSince is the time since boot at which the first read began since the view was
@@ -138,11 +142,19 @@
 }
 
 // ConfirmedAt returns the latest time since boot at which the view is known to have been
-// up to date; false before the first successful read.
+// up to date; false before the first successful read. A list of a new era, such as the first
+// one, confirms nothing until other nodes were asked: it may be from before what they know.
 func (f *Follower) ConfirmedAt() (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.confirmedAt, f.mirror.Revision() > 0
+	return f.trustedAt, f.isTrusted
+}
+
+// trust updates the time up to which the view is trusted. The caller must hold the lock.
+func (f *Follower) trust() {
+	if f.settled {
+		f.trustedAt, f.isTrusted = f.confirmedAt, true
+	}
 }
 
 // Members returns the listed nodes in the order of their VMs.
@@ -180,7 +192,9 @@
 		f.changed = make(chan struct{})
 	}
 	hasRefreshed := f.refreshMembers(changed)
-	if hasEntered := f.enterEra(); hasEntered || hasRefreshed {
+	hasEntered := f.enterEra()
+	f.trust()
+	if hasEntered || hasRefreshed {
 		f.notify()
 	}
 }
--- a/roster/mirror.go
+++ b/roster/mirror.go
@@ -144,6 +144,36 @@
 	return true
 }
 
+// Others returns the entries that are not those of nodes.
+func (m *Mirror) Others() []kv.Entry {
+	var others []kv.Entry
+	for key, entry := range m.entries {
+		if !m.isMember(key) {
+			others = append(others, entry)
+		}
+	}
+	return others
+}
+
+// Recover takes over those entries of another node that are not those of nodes and that
+// their writer wrote later than the known ones, whatever their revisions: the service may
+// have lost them. It reports whether there were any.
+func (m *Mirror) Recover(entries []kv.Entry) bool {
+	changed := false
+	for _, entry := range entries {
+		if m.isMember(entry.Key) || entry.Deleted {
+			continue
+		}
+		known, ok := m.entries[entry.Key]
+		if order, comparable := m.compare(entry, known); ok && (!comparable || order <= 0) {
+			continue
+		}
+		m.entries[entry.Key] = entry
+		changed = true
+	}
+	return changed
+}
+
 func (m *Mirror) isMember(key string) bool { return strings.HasPrefix(key, m.memberPrefix) }
 
 // trimmed returns an entry as the mirror keeps it. Of a value that is too long to describe
--- a/roster/sync.go
+++ b/roster/sync.go
@@ -116,6 +116,7 @@
 		return
 	}
 	f.settled = true
+	f.trust()
 	log := f.config.Logger.Info
 	if !isSettled {
 		log = f.config.Logger.Warn
@@ -240,22 +241,56 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.queriedEra = max(f.queriedEra, kv.Revision(reply.GetRevision()).Era())
 	f.addDepartures(departuresFromMessage(reply.GetDepartures()))
-	if reply.GetUnsettled() {
-		return syncUnsettled
+	f.recover(address, entriesFromMessage(reply.GetEntries()))
+	if f.isSettledBy(&reply) {
+		return syncSettled
 	}
-	return syncSettled
+	return syncUnsettled
+}
+
+// isSettledBy reports whether the view is settled by a reply. A node that was settled in the
+// same era has told what it knew of earlier ones, and the list of the service has all since,
+// however old that node's view is. Otherwise its view must have been up to date shortly
+// before. The caller must hold the lock.
+func (f *Follower) isSettledBy(reply *peerpb.SyncReply) bool {
+	if !reply.GetUnsettled() && kv.Revision(reply.GetRevision()).Era() == f.enteredEra {
+		return true
+	}
+	age := time.Duration(reply.GetConfirmedAgeMicros()) * time.Microsecond
+	return age >= 0 && age <= maxSourceAge
+}
+
+// recover takes over what another node knows and the service has lost. The caller must hold
+// the lock.
+func (f *Follower) recover(address netip.AddrPort, entries []kv.Entry) {
+	if !f.mirror.Recover(entries) {
+		return
+	}
+	f.config.Logger.Warn("roster: newer entries of another node taken", zap.Stringer("from", address))
+	f.lastRead.source = Source{Node: address}
+	close(f.changed)
+	f.changed = make(chan struct{})
+	f.notify()
 }
 
 // AnswerSync serves a sync of the node of a VM.
 func (f *Follower) AnswerSync(vm string, query *peerpb.SyncQuery) *peerpb.SyncReply {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.queriedEra = max(f.queriedEra, kv.Revision(query.GetRevision()).Era())
 	f.addDepartures(departuresFromMessage(query.GetDepartures()))
+	age := time.Duration(-1) * time.Microsecond
+	if f.isTrusted {
+		age = f.config.Now() - f.trustedAt
+	}
 	return &peerpb.SyncReply{
-		Revision:   uint64(f.mirror.Revision()),
-		Unsettled:  !f.settled,
-		Departures: departuresToMessage(f.departures.latestFor(vm)),
+		Revision:           uint64(f.mirror.Revision()),
+		Unsettled:          !f.settled,
+		Departures:         departuresToMessage(f.departures.latestFor(vm)),
+		ConfirmedAgeMicros: age.Microseconds(),
+		Entries:            entriesToMessage(f.mirror.Others()),
 	}
 }
 
--- a/roster/sync_test.go
+++ b/roster/sync_test.go
@@ -84,7 +84,7 @@
 	}
 	unsettled := func(context.Context, netip.AddrPort) (*peerpb.SyncReply, error) {
 		time.Sleep(roundTrip)
-		return &peerpb.SyncReply{Unsettled: true}, nil
+		return &peerpb.SyncReply{Unsettled: true, ConfirmedAgeMicros: -1}, nil
 	}
 	silent := func(ctx context.Context, _ netip.AddrPort) (*peerpb.SyncReply, error) {
 		<-ctx.Done()
@@ -174,3 +174,120 @@
 		assert.DeepEqual(t, departuresFromMessage(reply.GetDepartures()), []Departure{{VM: "vm-2", Instance: "i-2", Started: time.UnixMilli(1000)}})
 	})
 }
+
+// TestSyncRecoversConfiguration guards against a configuration that the service has lost and
+// that a node which starts doesn't have: others know it, whatever revision and era their
+// entry has. Nothing counts as confirmed before, and no older or equal entry is taken.
+func TestSyncRecoversConfiguration(t *testing.T) {
+	cases := []struct {
+		name   string
+		entry  kv.Entry
+		config string
+	}{
+		{"newer, of a later revision", kv.Entry{Key: configKey, Value: []byte("2"), Revision: 150}, "2"},
+		{"newer, of an earlier revision", kv.Entry{Key: configKey, Value: []byte("2"), Revision: 1}, "2"},
+		{"newer, of a later era", kv.Entry{Key: configKey, Value: []byte("2"), Revision: kv.RevisionIn(1, 1)}, "2"},
+		{"older, of a later revision", kv.Entry{Key: configKey, Value: []byte("0"), Revision: 150}, "1"},
+		{"older, of a later era", kv.Entry{Key: configKey, Value: []byte("0"), Revision: kv.RevisionIn(1, 1)}, "1"},
+		{"an entry of a node", kv.Entry{Key: "online/vm-1", Value: []byte("9"), Revision: 150}, "1"},
+		{"a removal", kv.Entry{Key: configKey, Revision: 150, Deleted: true}, "1"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSyncStart(t, 3, false, func(context.Context, netip.AddrPort) (*peerpb.SyncReply, error) {
+					time.Sleep(roundTrip)
+					return &peerpb.SyncReply{Entries: entriesToMessage([]kv.Entry{c.entry})}, nil
+				})
+				_, isConfirmed := s.follower.ConfirmedAt()
+				assert.Assert(t, !isConfirmed, "confirmed before other nodes were asked")
+				time.Sleep(2 * roundTrip)
+				synctest.Wait()
+				_, isConfirmed = s.follower.ConfirmedAt()
+				assert.Assert(t, isConfirmed)
+				view, _ := s.latest()
+				config, _ := view.Mirror.Entry(configKey)
+				assert.Equal(t, string(config.Value), c.config)
+				member, _ := view.Mirror.Entry("online/vm-1")
+				assert.Equal(t, member.Revision, kv.Revision(3))
+				reply := s.follower.AnswerSync("vm-2", &peerpb.SyncQuery{})
+				assert.DeepEqual(t, entriesFromMessage(reply.GetEntries()), []kv.Entry{config})
+			})
+		})
+	}
+}
+
+// TestNewEraConfirmsOnceSettled guards against a list of a new era that confirms a
+// configuration from before a change which other nodes know: until they were asked, the view
+// counts as confirmed when it last was in the era before.
+func TestNewEraConfirmsOnceSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reply := &peerpb.SyncReply{}
+		isSilent := false
+		s := newSyncStart(t, 3, false, func(ctx context.Context, _ netip.AddrPort) (*peerpb.SyncReply, error) {
+			if isSilent {
+				<-ctx.Done()
+			}
+			return reply, ctx.Err()
+		})
+		read := func(revision kv.Revision) {
+			s.follower.apply(Source{}, Delta{Whole: true, Revision: revision, Entries: syncEntries(3)}, s.follower.config.Now())
+			synctest.Wait()
+		}
+		check := func(want time.Duration) {
+			t.Helper()
+			at, ok := s.follower.ConfirmedAt()
+			assert.Assert(t, ok)
+			assert.Equal(t, at, want)
+		}
+		time.Sleep(time.Second)
+		read(101)
+		check(time.Second)
+		time.Sleep(time.Second)
+		isSilent = true
+		read(kv.RevisionIn(1, 50))
+		check(time.Second)
+		time.Sleep(time.Second)
+		read(kv.RevisionIn(1, 51))
+		check(time.Second)
+		time.Sleep(syncTimeout)
+		check(3 * time.Second)
+		isSilent, reply = false, &peerpb.SyncReply{Revision: uint64(kv.RevisionIn(2, 1))}
+		read(kv.RevisionIn(2, 50))
+		check(3*time.Second + syncTimeout)
+	})
+}
+
+// TestReplySettlesView guards against a node that is itself behind and settles the view of
+// one that starts.
+func TestReplySettlesView(t *testing.T) {
+	early, late := kv.RevisionIn(1, 70), kv.RevisionIn(2, 60)
+	cases := []struct {
+		name      string
+		revision  kv.Revision
+		unsettled bool
+		age       time.Duration
+		want      bool
+	}{
+		{"settled in the same era", late, false, 0, true},
+		{"settled in the same era, cut off since", late, false, time.Hour, true},
+		{"entered the same era just now", late, true, time.Second, true},
+		{"entered the same era after a cut", late, true, 4 * time.Second, false},
+		{"has just started", late, true, -1, false},
+		{"has not heard of the era", early, false, time.Second, true},
+		{"has not heard of the era, cut off", early, false, 4 * time.Second, false},
+		{"has not heard of the era, has just started", early, true, -1, false},
+		{"is an era ahead", kv.RevisionIn(3, 1), true, -1, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := NewFollower(FollowerConfig{Client: fake.New(fake.Config{}), VM: "vm-0", Zone: "z", OnChange: func(View) {}, Logger: zap.NewNop()})
+			f.apply(Source{}, Delta{Whole: true, Revision: kv.RevisionIn(2, 50)}, f.config.Now())
+			reply := &peerpb.SyncReply{Revision: uint64(c.revision), Unsettled: c.unsettled, ConfirmedAgeMicros: c.age.Microseconds()}
+			if c.age < 0 {
+				reply.ConfirmedAgeMicros = -1
+			}
+			assert.Equal(t, f.isSettledBy(reply), c.want)
+		})
+	}
+}
--- a/roster/wire.go
+++ b/roster/wire.go
@@ -8,36 +8,44 @@
 )
 
 func replyFromDelta(delta Delta, age time.Duration) *peerpb.RosterReply {
-	reply := &peerpb.RosterReply{
+	return &peerpb.RosterReply{
 		Revision:  uint64(delta.Revision),
 		Whole:     delta.Whole,
 		AgeMicros: age.Microseconds(),
-		Entries:   make([]*peerpb.RosterEntry, len(delta.Entries)),
+		Entries:   entriesToMessage(delta.Entries),
 	}
-	for i, entry := range delta.Entries {
-		reply.Entries[i] = &peerpb.RosterEntry{
+}
+
+func deltaFromReply(reply *peerpb.RosterReply) Delta {
+	return Delta{
+		Whole:    reply.GetWhole(),
+		Revision: kv.Revision(reply.GetRevision()),
+		Entries:  entriesFromMessage(reply.GetEntries()),
+	}
+}
+
+func entriesToMessage(entries []kv.Entry) []*peerpb.RosterEntry {
+	messages := make([]*peerpb.RosterEntry, len(entries))
+	for i, entry := range entries {
+		messages[i] = &peerpb.RosterEntry{
 			Key:      entry.Key,
 			Value:    entry.Value,
 			Revision: uint64(entry.Revision),
 			Removed:  entry.Deleted,
 		}
 	}
-	return reply
+	return messages
 }
 
-func deltaFromReply(reply *peerpb.RosterReply) Delta {
-	delta := Delta{
-		Whole:    reply.GetWhole(),
-		Revision: kv.Revision(reply.GetRevision()),
-		Entries:  make([]kv.Entry, len(reply.GetEntries())),
-	}
-	for i, entry := range reply.GetEntries() {
-		delta.Entries[i] = kv.Entry{
-			Key:      entry.GetKey(),
-			Value:    entry.GetValue(),
-			Revision: kv.Revision(entry.GetRevision()),
-			Deleted:  entry.GetRemoved(),
+func entriesFromMessage(messages []*peerpb.RosterEntry) []kv.Entry {
+	entries := make([]kv.Entry, len(messages))
+	for i, m := range messages {
+		entries[i] = kv.Entry{
+			Key:      m.GetKey(),
+			Value:    m.GetValue(),
+			Revision: kv.Revision(m.GetRevision()),
+			Deleted:  m.GetRemoved(),
 		}
 	}
-	return delta
+	return entries
 }
