Ask for no key where the configuration has no tenants

Cause, from a run of the case on: each node has the version in force ("workspaces 0") and refuses with the cause "no key", or "unknown key". The configuration was decoded into a list, in which an absent one and an empty one are the same, and admission let only routes that are open pass without a key.

Change: a bundle without tenants is keyless, and admission then looks at no key. PROTOCOL says "If the configuration contains `tenants`, a request carries a key": a list that is left out or null is not contained; an empty one is, so that requests need a key and none is valid. An earlier key does no harm, and goes no further, like an X-Tenant-Id of the caller. The strict reader of the project's own bundles leaves out fields that encoding/json leaves out, so that it cannot be set there.

--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -28,6 +28,9 @@
 	Zones []Zone `json:"zones"`
 	// Workspaces are the tenants.
 	Workspaces []Workspace `json:"workspaces"`
+	// Keyless is set if there are no workspaces because callers need none: requests need no
+	// key. It is no part of a signed bundle.
+	Keyless bool `json:"-"`
 	// Services are the groups of backend servers and what they may call.
 	Services []Service `json:"services"`
 	// Routes map callers' requests to services.
--- a/caller/admit.go
+++ b/caller/admit.go
@@ -84,8 +84,11 @@
 	return string(path)
 }
 
-// identifyWorkspace finds the workspace of the request's key.
+// identifyWorkspace finds the workspace of the request's key, if the bundle asks for keys.
 func (s *Server) identifyWorkspace(ctx *fasthttp.RequestCtx, index *bundle.Index, route *bundle.Route, call *request.Call) *request.Refusal {
+	if index.Bundle.Keyless {
+		return nil
+	}
 	key, refusal := keyOf(&ctx.Request.Header)
 	if refusal != nil {
 		return refusal
--- a/caller/version_test.go
+++ b/caller/version_test.go
@@ -134,3 +134,38 @@
 	assert.Assert(t, refusal != nil, "admitted by version %d", call.Context.BundleVersion)
 	assert.Equal(t, refusal.Cause, request.CauseUnknownKey)
 }
+
+// TestKeylessBundle guards against requests that are refused for their keys though the bundle
+// has none. Whatever the caller claims, the request has no workspace and the key, if there
+// is one, goes no further.
+func TestKeylessBundle(t *testing.T) {
+	index := bundle.NewIndex(&bundle.Bundle{Version: 2, Keyless: true, Routes: []bundle.Route{{Name: "school", Prefix: "/school", Service: "school", Priority: 2}}})
+	cases := map[string]struct{ uri, headers string }{
+		"no key":                    {"/school", ""},
+		"key of an earlier version": {"/school", "Authorization: Bearer earlier-key\r\n"},
+		"key in the path, too":      {"/school?key=earlier-key", "Authorization: Bearer earlier-key\r\n"},
+		"two keys":                  {"/school", "Authorization: Bearer earlier-key\r\n" + httpconn.HeaderKey + ": other-key\r\n"},
+		"basic credentials":         {"/school", "Authorization: Basic dXNlcg==\r\n"},
+		"claimed workspace":         {"/school", "Workspace: school\r\n"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := New(Config{
+				Bundle: func() *bundle.Index { return index }, Logger: zap.NewNop(),
+				Dialect: &httpconn.Dialect{AttemptID: "Attempt", Timeout: "Timeout", Workspace: "Workspace"},
+				Stale:   func(*bundle.Workspace) bool { return true },
+			})
+			var ctx fasthttp.RequestCtx
+			head := "GET " + c.uri + " HTTP/1.1\r\nHost: x\r\n" + c.headers + "\r\n"
+			assert.NilError(t, ctx.Request.Read(bufio.NewReader(strings.NewReader(head))))
+			call, refusal := s.admit(&ctx, time.Now())
+			assert.Assert(t, refusal == nil, "%v", refusal)
+			assert.Equal(t, call.Context.Workspace, "")
+			assert.Equal(t, call.Context.Priority, request.Priority(2))
+			for _, header := range call.Headers {
+				assert.Assert(t, !strings.EqualFold(string(header.Name), fasthttp.HeaderAuthorization), "%s", header.Value)
+				assert.Assert(t, !strings.EqualFold(string(header.Name), "Workspace"), "%s", header.Value)
+			}
+		})
+	}
+}
--- a/strictjson/reader.go
+++ b/strictjson/reader.go
@@ -172,8 +172,8 @@
 
 func fieldType(t reflect.Type, name string) (reflect.Type, bool) {
 	for i := range t.NumField() {
-		if jsonName(t.Field(i)) == name {
-			return t.Field(i).Type, true
+		if field := t.Field(i); isRead(field) && jsonName(field) == name {
+			return field.Type, true
 		}
 	}
 	return nil, false
@@ -182,7 +182,13 @@
 func fieldNames(t reflect.Type) []string {
 	var names []string
 	for i := range t.NumField() {
-		names = append(names, jsonName(t.Field(i)))
+		if field := t.Field(i); isRead(field) {
+			names = append(names, jsonName(field))
+		}
 	}
 	return names
 }
+
+// isRead reports whether a document may have the field: encoding/json leaves out one that
+// is named "-".
+func isRead(field reflect.StructField) bool { return field.Tag.Get("json") != "-" }
