Ask in a first start that is none, and send no entry that the list has

Found on reading the sync again. A process whose settings still say that the site starts for the first time asked nobody, also if an earlier process of its VM was listed. The counts of a sync were read while late replies changed them. A round without failures needs no pause: where all nodes have just started, they ask one another without one. Each reply carried the configuration also if the list of the asking node had the same entry, up to 1 MB for each of four replies. A DELETE of an earlier instance, which the node's entry has no place for, is told to other nodes.

--- a/node/hosted_backend.go
+++ b/node/hosted_backend.go
@@ -80,6 +80,9 @@
 	}
 	h.backendMu.Unlock()
 	h.follower.AddDeparture(h.departure(instance, started))
+	if ok && !isCurrent {
+		h.startSpreading() // this node's entry has no place for it
+	}
 }
 
 // latestReport returns the latest report, applied or held; h.backendMu must be held.
--- a/node/hosted_leave.go
+++ b/node/hosted_leave.go
@@ -30,13 +30,18 @@
 	if h.isPublishedWithin(ctx, leaveSpreadAfter) {
 		return
 	}
+	h.startSpreading()
+	if !h.waitUntilPublished(ctx) {
+		h.logger.Warn("backend: leaving acknowledged before it was published", zap.Int64("nodesTold", h.nodesTold.Load()))
+	}
+}
+
+// startSpreading makes spreadDeparturesUntil tell other nodes.
+func (h *Hosted) startSpreading() {
 	select {
 	case h.leaveUnpublished <- struct{}{}:
 	default:
 	}
-	if !h.waitUntilPublished(ctx) {
-		h.logger.Warn("backend: leaving acknowledged before it was published", zap.Int64("nodesTold", h.nodesTold.Load()))
-	}
 }
 
 // isPublishedWithin reports whether the service has the present state within a time.
--- a/roster/follower.go
+++ b/roster/follower.go
@@ -212,8 +212,11 @@
 	return true
 }
 
-// notify calls OnChange. The caller must hold the lock.
+// notify calls OnChange, once there is a view. The caller must hold the lock.
 func (f *Follower) notify() {
+	if f.mirror.Revision() == 0 {
+		return
+	}
 	f.config.OnChange(View{
 		Mirror:         f.mirror,
 		Members:        f.members,
--- a/roster/sync.go
+++ b/roster/sync.go
@@ -58,9 +58,9 @@
 	if f.hasEntered && era == f.enteredEra {
 		return false
 	}
-	isFirst := !f.hasEntered
+	isFirstStart := !f.hasEntered && f.config.FirstStart && !f.isListed()
 	f.hasEntered, f.enteredEra = true, era
-	f.settled = isFirst && f.config.FirstStart || len(f.rankedPeers()) == 0
+	f.settled = isFirstStart || len(f.rankedPeers()) == 0
 	if f.settled {
 		return true
 	}
@@ -71,6 +71,13 @@
 	return true
 }
 
+// isListed reports whether a node of this VM has an entry: another process has run before.
+// The caller must hold the lock.
+func (f *Follower) isListed() bool {
+	_, ok := f.mirror.Entry(f.config.MemberPrefix + f.config.VM)
+	return ok
+}
+
 // syncUntil syncs the view in each era until ctx is done.
 func (f *Follower) syncUntil(ctx context.Context) {
 	for {
@@ -89,15 +96,17 @@
 	era := f.enteredEra
 	f.mu.Unlock()
 	startedAt := f.config.Now()
-	round := &syncRounds{follower: f, era: era, failures: make(map[string]int), unsettled: make(map[string]bool)}
+	rounds := &syncRounds{follower: f, failures: make(map[string]int), unsettled: make(map[string]bool)}
 	for ctx.Err() == nil && f.isIn(era) {
-		isSettled := round.ask(ctx)
+		round := rounds.ask(ctx)
 		isOver := f.config.Now()-startedAt >= syncTimeout
-		if isSettled || isOver {
-			f.settle(era, startedAt, round, isSettled)
+		if round.isSettled || isOver {
+			f.settle(era, startedAt, rounds, round.isSettled)
 			return
 		}
-		clock.Sleep(ctx, syncPause)
+		if round.hasFailures {
+			clock.Sleep(ctx, syncPause)
+		}
 	}
 }
 
@@ -121,9 +130,9 @@
 	if !isSettled {
 		log = f.config.Logger.Warn
 	}
+	failed, unsettled := rounds.counts()
 	log("roster: other nodes asked", zap.Uint32("era", uint32(era)), zap.Bool("answered", isSettled),
-		zap.Int("failed", len(rounds.failures)), zap.Int("unsettled", len(rounds.unsettled)),
-		zap.Duration("took", f.config.Now()-startedAt))
+		zap.Int("failed", failed), zap.Int("unsettled", unsettled), zap.Duration("took", f.config.Now()-startedAt))
 	f.notify()
 }
 
@@ -159,7 +168,6 @@
 // syncRounds asks other nodes in an era, some at a time.
 type syncRounds struct {
 	follower *Follower
-	era      kv.Era
 
 	mu sync.Mutex
 	// failures counts the failed queries of each VM.
@@ -181,30 +189,45 @@
 	return peers[:min(len(peers), syncPeersPerRound)]
 }
 
-// ask asks some nodes at once. It reports whether the view is settled: by a reply, or
-// because no node is left that may know more.
-func (r *syncRounds) ask(ctx context.Context) bool {
+// counts returns how many nodes gave no reply, and how many know no more than this one.
+func (r *syncRounds) counts() (failed, unsettled int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.failures), len(r.unsettled)
+}
+
+// syncRound is the result of a round.
+type syncRound struct {
+	// isSettled is set if a reply settled the view, or if no node is left that may know more.
+	isSettled bool
+	// hasFailures is set if a node gave no reply.
+	hasFailures bool
+}
+
+// ask asks some nodes at once.
+func (r *syncRounds) ask(ctx context.Context) syncRound {
 	peers := r.next()
 	if len(peers) == 0 {
-		return true
+		return syncRound{isSettled: true}
 	}
 	outcomes := make(chan syncOutcome, len(peers))
 	for _, member := range peers {
 		go func() { outcomes <- r.askOne(ctx, member) }()
 	}
+	var round syncRound
 	var grace <-chan time.Time
-	isSettled := false
 	for range peers {
 		select {
 		case outcome := <-outcomes:
-			if outcome == syncSettled && !isSettled {
-				isSettled, grace = true, time.After(syncGrace)
+			round.hasFailures = round.hasFailures || outcome == syncFailed
+			if outcome == syncSettled && !round.isSettled {
+				round.isSettled, grace = true, time.After(syncGrace)
 			}
 		case <-grace:
-			return true
+			return round
 		}
 	}
-	return isSettled
+	return round
 }
 
 // askOne asks a node and applies its reply.
@@ -290,10 +313,18 @@
 		Unsettled:          !f.settled,
 		Departures:         departuresToMessage(f.departures.latestFor(vm)),
 		ConfirmedAgeMicros: age.Microseconds(),
-		Entries:            entriesToMessage(f.mirror.Others()),
+		Entries:            entriesToMessage(f.unlistedAt(kv.Revision(query.GetRevision()))),
 	}
 }
 
+// unlistedAt returns the entries that are not those of nodes and that a list of the service
+// at a revision may lack. The caller must hold the lock.
+func (f *Follower) unlistedAt(revision kv.Revision) []kv.Entry {
+	return slices.DeleteFunc(f.mirror.Others(), func(e kv.Entry) bool {
+		return e.Revision.Era() == revision.Era() && e.Revision <= revision
+	})
+}
+
 // AddDeparture records that a run of this VM's backend server leaves.
 func (f *Follower) AddDeparture(departure Departure) {
 	f.mu.Lock()
