Go on asking other nodes after a list was believed without an answer

Found on reading the sync again: a node that no other one answered for 3 s believed its list for good, and told others that it was settled, so that they could take an older configuration from it for the newest.

Change: it asks on, each second, until one answers, none is listed or another era begins, takes over what that one knows, and counts as unsettled for others until then.

roster TestSyncGoesOn fails on the code before: the node says that it is settled.

--- a/roster/follower.go
+++ b/roster/follower.go
@@ -105,8 +105,9 @@
 	// hasEntered is set, and enteredEra is the era of the view, from the first list on.
 	hasEntered bool
 	enteredEra kv.Era
-	// settled is set once other nodes were asked in enteredEra.
-	settled bool
+	// settled is set once other nodes were asked in enteredEra, and synced once one has
+	// answered that could tell, or none is left that might.
+	settled, synced bool
 	// eraEntered receives a value when a sync has to start.
 	eraEntered chan struct{}
 	// changed is closed at the next change.
--- a/roster/sync.go
+++ b/roster/sync.go
@@ -11,7 +11,6 @@
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
-	"auburngap/clock"
 	"auburngap/kv"
 	"auburngap/peer"
 	"auburngap/peer/peerpb"
@@ -30,8 +29,10 @@
 	syncGrace        = 100 * time.Millisecond
 	// syncPause is the time between two rounds.
 	syncPause = 100 * time.Millisecond
-	// syncTimeout bounds how long a node asks without a reply that settles its view.
-	syncTimeout = 3 * time.Second
+	// syncTimeout is how long a node asks until it believes its list without a reply. It goes
+	// on asking, with syncRetryPause between two rounds.
+	syncTimeout    = 3 * time.Second
+	syncRetryPause = time.Second
 )
 
 // A list of the key-value service is not the whole truth for a node that knows nothing else:
@@ -60,8 +61,9 @@
 	}
 	isFirstStart := !f.hasEntered && f.config.FirstStart && !f.isListed()
 	f.hasEntered, f.enteredEra = true, era
-	f.settled = isFirstStart || len(f.rankedPeers()) == 0
-	if f.settled {
+	f.synced = isFirstStart || len(f.rankedPeers()) == 0
+	f.settled = f.synced
+	if f.synced {
 		return true
 	}
 	select {
@@ -85,53 +87,60 @@
 		case <-ctx.Done():
 			return
 		case <-f.eraEntered:
-			f.syncEra(ctx)
+		}
+		for f.syncEra(ctx) {
 		}
 	}
 }
 
-// syncEra asks other nodes until the view is settled in the present era.
-func (f *Follower) syncEra(ctx context.Context) {
+// syncEra asks other nodes until the view is synced in the present era. It returns true if
+// another era began meanwhile.
+func (f *Follower) syncEra(ctx context.Context) bool {
 	f.mu.Lock()
 	era := f.enteredEra
 	f.mu.Unlock()
 	startedAt := f.config.Now()
 	rounds := &syncRounds{follower: f, failures: make(map[string]int), unsettled: make(map[string]bool)}
-	for ctx.Err() == nil && f.isIn(era) {
+	pause := syncPause
+	for {
 		round := rounds.ask(ctx)
-		isOver := f.config.Now()-startedAt >= syncTimeout
-		if round.isSettled || isOver {
-			f.settle(era, startedAt, rounds, round.isSettled)
-			return
+		if round.isSettled {
+			f.settle(era, startedAt, rounds, true)
+			return false
 		}
-		if round.hasFailures {
-			clock.Sleep(ctx, syncPause)
+		if pause == syncPause && f.config.Now()-startedAt >= syncTimeout {
+			f.settle(era, startedAt, rounds, false)
+			pause = syncRetryPause
+		}
+		if !round.hasFailures {
+			continue // the others have yet to be asked
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-f.eraEntered:
+			return true
+		case <-time.After(pause):
 		}
 	}
 }
 
-// isIn reports whether the view is in an era.
-func (f *Follower) isIn(era kv.Era) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.enteredEra == era
-}
-
-// settle records that other nodes were asked in an era.
-func (f *Follower) settle(era kv.Era, startedAt time.Duration, rounds *syncRounds, isSettled bool) {
+// settle records that other nodes were asked in an era, and whether one has answered that
+// could tell.
+func (f *Follower) settle(era kv.Era, startedAt time.Duration, rounds *syncRounds, isAnswered bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.enteredEra != era {
 		return
 	}
-	f.settled = true
+	f.settled, f.synced = true, isAnswered
 	f.trust()
 	log := f.config.Logger.Info
-	if !isSettled {
+	if !isAnswered {
 		log = f.config.Logger.Warn
 	}
 	failed, unsettled := rounds.counts()
-	log("roster: other nodes asked", zap.Uint32("era", uint32(era)), zap.Bool("answered", isSettled),
+	log("roster: other nodes asked", zap.Uint32("era", uint32(era)), zap.Bool("answered", isAnswered),
 		zap.Int("failed", failed), zap.Int("unsettled", unsettled), zap.Duration("took", f.config.Now()-startedAt))
 	f.notify()
 }
@@ -310,7 +319,7 @@
 	}
 	return &peerpb.SyncReply{
 		Revision:           uint64(f.mirror.Revision()),
-		Unsettled:          !f.settled,
+		Unsettled:          !f.synced,
 		Departures:         departuresToMessage(f.departures.latestFor(vm)),
 		ConfirmedAgeMicros: age.Microseconds(),
 		Entries:            entriesToMessage(f.unlistedAt(kv.Revision(query.GetRevision()))),
--- a/roster/sync_test.go
+++ b/roster/sync_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -224,13 +225,13 @@
 // counts as confirmed when it last was in the era before.
 func TestNewEraConfirmsOnceSettled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		reply := &peerpb.SyncReply{}
-		isSilent := false
+		var isSilent atomic.Bool
+		var era atomic.Uint32
 		s := newSyncStart(t, 3, false, func(ctx context.Context, _ netip.AddrPort) (*peerpb.SyncReply, error) {
-			if isSilent {
+			if isSilent.Load() {
 				<-ctx.Done()
 			}
-			return reply, ctx.Err()
+			return &peerpb.SyncReply{Revision: uint64(kv.RevisionIn(kv.Era(era.Load()), 1))}, ctx.Err()
 		})
 		read := func(revision kv.Revision) {
 			s.follower.apply(Source{}, Delta{Whole: true, Revision: revision, Entries: syncEntries(3)}, s.follower.config.Now())
@@ -246,7 +247,7 @@
 		read(101)
 		check(time.Second)
 		time.Sleep(time.Second)
-		isSilent = true
+		isSilent.Store(true)
 		read(kv.RevisionIn(1, 50))
 		check(time.Second)
 		time.Sleep(time.Second)
@@ -254,7 +255,8 @@
 		check(time.Second)
 		time.Sleep(syncTimeout)
 		check(3 * time.Second)
-		isSilent, reply = false, &peerpb.SyncReply{Revision: uint64(kv.RevisionIn(2, 1))}
+		isSilent.Store(false)
+		era.Store(2)
 		read(kv.RevisionIn(2, 50))
 		check(3*time.Second + syncTimeout)
 	})
@@ -306,3 +308,32 @@
 	_, isConfirmed := f.ConfirmedAt()
 	assert.Assert(t, !isConfirmed)
 }
+
+// TestSyncGoesOn guards against a node that believed its list, as no other node answered, and
+// never learns what they know once they answer again; and against others that take such a
+// node's word for theirs.
+func TestSyncGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var answers atomic.Bool
+		s := newSyncStart(t, 3, false, func(ctx context.Context, _ netip.AddrPort) (*peerpb.SyncReply, error) {
+			if !answers.Load() {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			newer := kv.Entry{Key: configKey, Value: []byte("2"), Revision: 1}
+			return &peerpb.SyncReply{Entries: entriesToMessage([]kv.Entry{newer})}, nil
+		})
+		time.Sleep(2 * syncTimeout)
+		synctest.Wait()
+		view, _ := s.latest()
+		assert.Assert(t, view.Settled, "the list is believed")
+		assert.Assert(t, s.follower.AnswerSync("vm-1", &peerpb.SyncQuery{}).GetUnsettled())
+		answers.Store(true)
+		time.Sleep(syncQueryTimeout + syncRetryPause)
+		synctest.Wait()
+		view, _ = s.latest()
+		config, _ := view.Mirror.Entry(configKey)
+		assert.Equal(t, string(config.Value), "2")
+		assert.Assert(t, !s.follower.AnswerSync("vm-1", &peerpb.SyncQuery{}).GetUnsettled())
+	})
+}
