--- a/roster/spread.go
+++ b/roster/spread.go
@@ -16,13 +16,18 @@
 	peers := f.rankedPeers()
 	f.mu.Unlock()
 	peers = peers[:min(len(peers), syncPeersPerRound)]
-	outcomes := make(chan syncOutcome, len(peers))
+	errs := make(chan error, len(peers))
 	for _, member := range peers {
-		go func() { outcomes <- f.sync(ctx, member.Address) }()
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, syncQueryTimeout)
+			defer cancel()
+			_, err := f.exchange(ctx, member.Address)
+			errs <- err
+		}()
 	}
 	told := 0
 	for range peers {
-		if <-outcomes != syncFailed {
+		if err := <-errs; err == nil {
 			told++
 		}
 	}
--- a/roster/sync_exchange.go
+++ b/roster/sync_exchange.go
@@ -26,10 +26,25 @@
 	syncSettled
 )
 
-// sync exchanges what this node and another one know.
+// sync asks the node at an address and reports what that has brought.
 func (f *Follower) sync(ctx context.Context, address netip.AddrPort) syncOutcome {
 	ctx, cancel := context.WithTimeout(ctx, syncQueryTimeout)
 	defer cancel()
+	reply, err := f.exchange(ctx, address)
+	switch {
+	case err == nil && f.isSettledBy(reply):
+		return syncSettled
+	case err == nil:
+		return syncUnsettled
+	case errorx.IsOfType(err, peer.ErrBroken) && ctx.Err() == nil:
+		return syncUnsettled // a node of an earlier version closes the stream
+	}
+	return syncFailed
+}
+
+// exchange tells the node at an address what this one knows, and takes over what that one
+// knows.
+func (f *Follower) exchange(ctx context.Context, address netip.AddrPort) (*peerpb.SyncReply, error) {
 	f.mu.Lock()
 	query := &peerpb.SyncQuery{
 		Revision:   uint64(f.mirror.Revision()),
@@ -38,27 +53,23 @@
 	f.mu.Unlock()
 	var reply peerpb.SyncReply
 	if err := f.config.Query(ctx, address, peer.KindSync, query, &reply); err != nil {
-		if errorx.IsOfType(err, peer.ErrBroken) && ctx.Err() == nil {
-			return syncUnsettled // a node of an earlier version closes the stream
-		}
-		return syncFailed
+		return nil, err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.queriedEra = max(f.queriedEra, kv.Revision(reply.GetRevision()).Era())
 	f.addDepartures(departuresFromMessage(reply.GetDepartures()))
 	f.recover(address, entriesFromMessage(reply.GetEntries()))
-	if f.isSettledBy(&reply) {
-		return syncSettled
-	}
-	return syncUnsettled
+	return &reply, nil
 }
 
 // isSettledBy reports whether the view is settled by a reply. A node that was settled in the
 // same era has told what it knew of earlier ones, and the list of the service has all since,
 // however old that node's view is. Otherwise its view must have been up to date shortly
-// before. The caller must hold the lock.
+// before.
 func (f *Follower) isSettledBy(reply *peerpb.SyncReply) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if !reply.GetUnsettled() && kv.Revision(reply.GetRevision()).Era() == f.enteredEra {
 		return true
 	}
