Refuse no request for a rate that ended while it waited for tokens

Cause, from the node's log: a version without tenants came into force at .045; the two requests had been admitted under the version before, waited for tokens of another node, and were refused at .051 with "rate 0, burst 0, took 6.4 ms". The wait ended without tokens since the workspace had no owners any more, and nothing looked again whether there still was a limit.

Change: a request that got no tokens looks once more before it is refused.

node TestLimitEndsDuringBorrow failed before in both rows (no workspaces, no limit).

--- a/node/portions.go
+++ b/node/portions.go
@@ -214,7 +214,8 @@
 	for !ok && p.awaitBorrow(ctx, workspace) {
 		ok = p.retakeToken(workspace)
 	}
-	if !ok {
+	// The limit may have ended while the request waited.
+	if !ok && !p.retakeToken(workspace) {
 		refusal := request.Refuse(request.CauseRate, request.NotRun, p.retryAfter(workspace))
 		refusal.Rate = p.decision(workspace)
 		return nil, refusal
